Read the configuration again on SIGHUP and move the watch to the new discovery

Cause: __main__.py had no handler for SIGHUP; a Follower kept the address it was made with; config.py let LB_DISCOVERY, which is as old as the process, win over the file. Checked: the first list of another source must be whole, for it may count on its own; a dial that never came up was only noticed after 5 s, later than all counts as told, so it now has 1 s.

The old source is heard until the new one has told a list, or ends by itself. A faulty file is logged with its key and changes nothing.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -1,4 +1,7 @@
-"""One dispatcher on sockets: reads its configuration, joins the parts and runs until SIGTERM."""
+"""One dispatcher on sockets: reads its configuration, joins the parts and runs until SIGTERM.
+
+On SIGHUP it reads the configuration again and moves to the discovery that this names.
+"""
 
 from __future__ import annotations
 
@@ -9,16 +12,18 @@
 import signal
 import sys
 from collections.abc import Callable, Sequence
+from dataclasses import fields
+from functools import partial
 
 from eiderfield.batch.front import BatchFront
 from eiderfield.batch.jobs import Book
-from eiderfield.config import Config, ConfigError, load
+from eiderfield.config import Config, ConfigError, Discovery, load
 from eiderfield.consul import ConsulFollower
 from eiderfield.exchange import Exchange
 from eiderfield.idmap import IdMap
 from eiderfield.net.acquirer import AuthorisationFront, Door
 from eiderfield.net.loop import Clock, Driver
-from eiderfield.net.routing import Follower, RoutingTable, Watcher
+from eiderfield.net.routing import Follower, Following, RoutingTable, Watcher
 from eiderfield.net.worker import WorkerSide
 
 ACCEPTING = 700.0  # ms after SIGTERM for which new connections are still taken
@@ -53,12 +58,7 @@
                 if config.discovery.kind == "static":
                     raise ConfigError(f"known: {error}") from None
                 log(f"known: {error}; waiting for discovery")  # an old list is no reason not to serve
-        source, dial = config.discovery, self._driver.dial
-        self._follower: Follower | None = None
-        if source.kind == "platform" and source.address is not None:
-            self._follower = Watcher(self.table, wheel, clock, dial, source.address, log)
-        elif source.kind == "consul":
-            self._follower = ConsulFollower(self.table, wheel, clock, dial, source, log)
+        self._following = Following()
         most = config.acquirers if config.batch is None else config.acquirers // 2
         front = AuthorisationFront(self.exchange, ids, clock)
         self._doors = [(Door(front, wheel, clock, most), config.listen)]
@@ -77,8 +77,36 @@
                 door.listen(self._loop, address)
             except OSError as error:
                 raise ConfigError(f"listen: cannot listen on {address[0]}:{address[1]} ({error})") from None
-        if self._follower is not None:
-            self._follower.start()
+        self._following.follow(self._follower(self._config.discovery))
+
+    def _follower(self, source: Discovery, whole: bool = False) -> Follower | None:
+        """What follows a source; `whole` for one whose lists need not fit the table's."""
+        driver, clock = self._driver, self._driver.clock
+        if source.address is None:
+            return None
+        if source.kind == "consul":
+            return ConsulFollower(self.table, driver.wheel, clock, driver.dial, source, log)
+        watcher = Watcher(self.table, driver.wheel, clock, driver.dial, source.address, log)
+        watcher.whole = whole
+        return watcher
+
+    def reload(self, load_again: Callable[[], Config]) -> None:
+        """Takes a new configuration: the table and every job stay, whatever it says or lacks."""
+        try:
+            config = load_again()
+            if config.discovery.kind == "static" and config.known is not None:
+                self.table.load(config.known)
+        except (ConfigError, ValueError) as error:  # a slip in the file must not end what runs well
+            log(f"the new configuration is not taken: {error}")
+            return
+        old, self._config = self._config, config
+        fixed = [f.name for f in fields(Config) if f.name not in ("discovery", "known", "seed")]
+        changed = [name for name in fixed if getattr(config, name) != getattr(old, name)]
+        if changed:
+            log(f"new values of {', '.join(changed)} take effect at the next start")
+        if config.discovery != old.discovery:
+            self._following.follow(self._follower(config.discovery, whole=True))
+        log(f"the configuration was read again; discovery is at {config.discovery.address}")
 
     def stop(self) -> None:
         """Begins the end: taken jobs are answered, and clients are asked to go elsewhere."""
@@ -96,15 +124,14 @@
         for door, _ in self._doors:
             door.close_quiet()
         if not self.exchange.unanswered and not any(door.connections for door, _ in self._doors):
-            if self._follower is not None:
-                self._follower.stop()
+            self._following.stop()
             self.workers.close()
             self.ended.set()
             return
         self._driver.wheel.at(self._driver.clock() + LOOK, self._end_when_idle)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, load_again: Callable[[], Config]) -> None:
     """Runs one dispatcher until it is told to end."""
     loop = asyncio.get_running_loop()
     # One bad peer or one slip must not end the program: what reaches the loop is logged.
@@ -112,6 +139,7 @@
     program = Program(config, loop, Clock())
     loop.add_signal_handler(signal.SIGTERM, program.stop)
     loop.add_signal_handler(signal.SIGINT, program.stop)
+    loop.add_signal_handler(signal.SIGHUP, program.reload, load_again)
     program.start()
     gc.collect()
     gc.freeze()  # what lives for ever need not be looked through again
@@ -125,7 +153,8 @@
     parser.add_argument("--config", metavar="FILE", help="an operator's TOML file instead of LB_CONFIG")
     options = parser.parse_args(arguments)
     try:
-        asyncio.run(serve(load(os.environ, options.config)))
+        read = partial(load, os.environ, options.config)
+        asyncio.run(serve(read(), partial(read, again=True)))
     except ConfigError as error:
         log(str(error))
         return 2
--- a/eiderfield/config.py
+++ b/eiderfield/config.py
@@ -1,7 +1,8 @@
 """The one place where the configuration is read, checked and given its defaults. Errors name the faulty key.
 
 A dispatcher on the platform is told by LB_* and the JSON file that LB_CONFIG names; a sidecar reads the
-operator's TOML file, which holds the same under the same names. LB_* win over either.
+operator's TOML file, which holds the same under the same names. LB_* win over either, but when the file is
+read again the address of discovery is that of the file, for the environment is as old as the process.
 """
 
 from __future__ import annotations
@@ -187,7 +188,7 @@
         raise ConfigError(str(error).replace("setting ", "settings.", 1)) from None
 
 
-def load(environ: Mapping[str, str], file: str | None = None) -> Config:
+def load(environ: Mapping[str, str], file: str | None = None, again: bool = False) -> Config:
     """The configuration of a process: the operator's file if one is given, else what the platform tells."""
     if file is None and "LB_CONFIG" not in environ:
         raise ConfigError("LB_CONFIG is missing, and no file is given")
@@ -197,24 +198,26 @@
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"{'LB_CONFIG' if file is None else path}: {type(error).__name__}") from None
     if file is not None:
-        return read_text(text, environ)
+        return read_text(text, environ, again)
     try:
         data: object = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
-    return read(data, environ)
+    return read(data, environ, again=again)
 
 
-def read_text(text: str, environ: Mapping[str, str] | None = None) -> Config:
+def read_text(text: str, environ: Mapping[str, str] | None = None, again: bool = False) -> Config:
     """The configuration from an operator's TOML text."""
     try:
         data = tomllib.loads(text)
     except (ValueError, RecursionError) as error:
         raise ConfigError(f"not TOML: {error}") from None
-    return read(data, environ or {}, strict=True)
+    return read(data, environ or {}, strict=True, again=again)
 
 
-def read(data: object, environ: Mapping[str, str], strict: bool = False) -> Config:
+def read(
+    data: object, environ: Mapping[str, str], strict: bool = False, again: bool = False
+) -> Config:
     """The configuration from what a file holds. `strict` rejects unknown keys, as by a slip of the pen."""
     tree = Tree(data)
     name = environ.get("LB_NAME") or tree.text("name")
@@ -228,7 +231,7 @@
     raw = tree.raw("settings")
     site = site_of(raw)
     policy = settings.table("policy_limits")
-    discovery = _discovery(tree, environ)
+    discovery = _discovery(tree, environ, again)
     known = tree.raw("known")
     if known is not None and not isinstance(known, Mapping):
         raise ConfigError("known is not a table")
@@ -266,9 +269,9 @@
     return tree.address(name)
 
 
-def _discovery(tree: Tree, environ: Mapping[str, str]) -> Discovery:
+def _discovery(tree: Tree, environ: Mapping[str, str], again: bool) -> Discovery:
     raw = tree.raw("discovery")
-    if "LB_DISCOVERY" in environ:
+    if "LB_DISCOVERY" in environ and not (again and raw is not None):
         return Discovery("platform", address_of(environ["LB_DISCOVERY"], "LB_DISCOVERY"))
     if isinstance(raw, str):
         return Discovery("platform", address_of(raw, "discovery"))
--- a/eiderfield/consul.py
+++ b/eiderfield/consul.py
@@ -82,6 +82,7 @@
         self._index = self._next if self._next >= max(1, self._index) else 0
         self._learn(named)
         self.table.replace(self._next, ListKind.FULL, [(entry, address) for _, entry, address in named])
+        self.told()
         if self._index:
             self._ask()
         else:
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -14,6 +14,7 @@
 from eiderfield.net.http import Head, Malformed, Parser, request_bytes
 from eiderfield.net.worker import Address, Dial, Dialling, WorkerSide
 
+DIAL = 1000.0  # ms that a connection to the source may take to come up
 SILENCE = 5000.0  # ms without even an empty line, which comes every 2 s, until the watch is opened anew
 BACKOFF = 100.0  # ms until the next try, doubled up to BACKOFF_MOST
 BACKOFF_MOST = 1000.0
@@ -101,6 +102,7 @@
         if self.closed:
             transport.abort()
             return
+        self._follower.up(self)
         self.ask()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -153,6 +155,7 @@
         address: Address,
         log: Callable[[str], None],
     ) -> None:
+        self.first: Callable[[], None] = lambda: None  # called when the source has told its first list
         self.table = table
         self.address = address
         self.clock = clock
@@ -164,7 +167,7 @@
         self._dialling: Dialling | None = None
         self._timer: Timer | None = None
         self._backoff = BACKOFF
-        self._stopped = False
+        self._leaving = False
 
     def message(self) -> bytes:
         """The next request."""
@@ -187,19 +190,33 @@
 
     def start(self) -> None:
         """Opens a feed."""
-        if not self._stopped:
+        if not self._leaving:
             feed = self.feed = Feed(self)
             self.text.clear()
-            self.arm(self.silence, lambda: self.lost(feed, "it is silent"))
+            self.arm(DIAL, lambda: self.lost(feed, "it cannot be reached in time"))
             self._dialling = self._dial(feed, self.address, lambda: self.lost(feed, "it cannot be reached"))
 
+    def up(self, feed: Feed) -> None:
+        """A feed's connection has come up."""
+        if feed is self.feed:
+            self.arm(self.silence, lambda: self.lost(feed, "it is silent"))
+
+    def leave(self) -> None:
+        """Another source takes over: the present feed is heard out, but none is opened after it."""
+        self._leaving = True
+
     def stop(self) -> None:
         """Ends the feed for good."""
-        self._stopped = True
+        self.leave()
         self._drop()
         if self._timer is not None:
             self._timer.cancel()
 
+    def told(self) -> None:
+        """The source has told a list."""
+        first, self.first = self.first, lambda: None
+        first()
+
     def heard(self) -> None:
         """A sign of life."""
         feed = self.feed
@@ -212,6 +229,9 @@
         if feed.closed or feed is not self.feed:
             return
         self._drop()
+        if self._leaving:
+            self.log(f"discovery: {why}; another source is about to take over")
+            return
         self.log(f"discovery: {why}; following again after index {self.table.index}")
         self.arm(self._backoff, self.start)
         self._backoff = min(BACKOFF_MOST, 2.0 * self._backoff)
@@ -233,9 +253,12 @@
 class Watcher(Follower):
     """The platform's watch: one answer that stays open, with a line for each change."""
 
+    # Another source may count on its own, so that its first list must be whole; the table stands until then.
+    whole = False
+
     def message(self) -> bytes:
         """The request for what has changed since the last index, or for everything."""
-        after = "" if self.table.index is None else f"&after={self.table.index}"
+        after = "" if self.whole or self.table.index is None else f"&after={self.table.index}"
         host, port = self.address
         return request_bytes("GET", f"/v1/endpoints?watch=1{after}", f"{host}:{port}")
 
@@ -248,7 +271,48 @@
             del self.text[: end + 1]
             if line.strip():
                 self.table.load(json.loads(line))
+                self.whole = False
+                self.told()
 
     def end(self) -> None:
         """A watch has no end of its own."""
         raise Malformed("the watch has ended")
+
+
+class Following:
+    """The follower in force and, after a new configuration, the one that is to take its place.
+
+    The old source is heard until the new one has told a list, or ends by itself: in between, a drain may be
+    told. Should the new one never speak, the table stays as it was.
+    """
+
+    def __init__(self) -> None:
+        self._current: Follower | None = None
+        self._next: Follower | None = None
+
+    def follow(self, follower: Follower | None) -> None:
+        """Moves to another source; None for none."""
+        if self._next is not None:  # a further configuration came before that one had told anything
+            self._next.stop()
+            self._next = None
+        if self._current is None or follower is None:
+            self.stop()
+            self._current = follower
+        else:
+            self._current.leave()
+            self._next = follower
+            follower.first = self._take_over
+        if follower is not None:
+            follower.start()
+
+    def stop(self) -> None:
+        """Ends all feeds."""
+        for follower in (self._current, self._next):
+            if follower is not None:
+                follower.stop()
+        self._current = self._next = None
+
+    def _take_over(self) -> None:
+        if self._current is not None:
+            self._current.stop()
+        self._current, self._next = self._next, None
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -32,6 +32,9 @@
             sock, _ = self.listener.accept()
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
+    def hold(self):
+        """Called before each answer."""
+
     def serve(self, sock):
         with sock, sock.makefile("rb") as lines:
             while True:
@@ -42,6 +45,7 @@
                 if not headers:
                     return
                 body = lines.read(int(headers.get("content-length", 0)))
+                self.hold()
                 told = {"id": headers["x-request-id"], "state": "done", "result": body.decode()[::-1]}
                 text = json.dumps(told).encode() + b"\n"
                 sock.sendall(
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,206 @@
+"""A new configuration under load: the watch moves, the table and every job stay."""
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+from desk import Desk
+from test_program import ROOT, Answering, ask, free_port
+
+from eiderfield.config import ConfigError, load
+from eiderfield.interface import State
+from eiderfield.net.routing import BACKOFF_MOST, DIAL, Following, Watcher
+
+CONFIG = {
+    "name": "n0",
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "settings": {"classes": [{"name": "echo", "value": 1, "goal_time": 300, "give_up": 5000,
+                              "idempotency": "retryable"}]},
+}  # fmt: skip
+
+
+class Moving:
+    """A desk that follows a source at port 8500 and may be told of others."""
+
+    def __init__(self):
+        self.desk = Desk(workers=1)
+        self.following = Following()
+        self.move(8500, whole=False)
+
+    def move(self, port, whole=True):
+        desk, address = self.desk, ("127.0.0.1", port)
+        watcher = Watcher(desk.table, desk.wheel, desk.clock, desk.dial, address, desk.logged.append)
+        watcher.whole = whole
+        self.following.follow(watcher)
+
+    def dials(self, port):
+        return [dial for dial in self.desk.dials if dial.address[1] == port]
+
+    def up(self, port):
+        return self.dials(port)[-1].up()
+
+    @property
+    def states(self):
+        return list(self.desk.exchange._table.values())
+
+
+def news(status="SERVING", index=7, snapshot=True):
+    endpoint = {"name": "w1", "address": "127.0.0.1:1", "status": status, "since_ms": 0}
+    return {"index": index, "snapshot": snapshot, "endpoints": [endpoint]}
+
+
+def test_the_old_source_is_heard_until_the_new_one_has_told_its_list():
+    moving = Moving()
+    client = moving.desk.client()
+    worker, old = moving.up(1), moving.up(8500)
+    old.say(news())
+    moving.move(8600)
+    new = moving.up(8600)
+    assert b"after" not in new.pipe.written, "another source may count on its own"
+    old.say(news("DRAINING", 8, snapshot=False), head=False)
+    assert old.pipe.open and moving.states == [State.DRAINING]
+    new.say(news("SERVING", 3))
+    assert not old.pipe.open and moving.states == [State.READY]
+    new.pipe.break_off()
+    moving.desk.advance(150.0)
+    assert b"after=3 " in moving.up(8600).pipe.written and not moving.dials(8500)
+    worker.finish()
+    assert client.answers()[0][0] == 200
+
+
+def test_an_old_source_that_ends_is_not_dialled_again_and_the_new_one_is_until_it_comes_up():
+    moving = Moving()
+    old = moving.up(8500)
+    old.say(news())
+    moving.move(8600)
+    old.pipe.break_off()
+    for _ in range(3):
+        moving.dials(8600)[-1].refuse()
+        moving.desk.advance(BACKOFF_MOST)
+    assert not moving.dials(8500) and moving.states == [State.READY]
+    moving.up(8600).say(news("DRAINING"))
+    assert moving.states == [State.DRAINING]
+
+
+def test_a_dial_that_never_comes_up_is_tried_again_well_within_the_time_to_be_told():
+    moving = Moving()
+    first = moving.dials(8500)
+    moving.desk.advance(DIAL + 150.0)
+    assert first[0].cancelled and len(moving.dials(8500)) == 1
+
+
+@pytest.mark.parametrize("state", ["dialling", "backing off", "up", "between"])
+def test_a_move_is_safe_whatever_the_feeds_do(state):
+    moving = Moving()
+    if state == "backing off":
+        moving.dials(8500)[0].refuse()
+    elif state != "dialling":
+        moving.up(8500)
+    if state == "between":  # the second move comes before the first has told anything
+        moving.move(8550)
+    moving.move(8600)
+    moving.desk.advance(50.0)
+    assert not moving.dials(8550)
+    moving.up(8600).say(news("DRAINING"))
+    moving.desk.advance(20_000.0)
+    assert moving.states == [State.DRAINING]
+    assert not moving.dials(8500) and not moving.dials(8550)
+
+
+def test_a_program_that_ends_ends_both_feeds():
+    moving = Moving()
+    old = moving.up(8500)
+    moving.move(8600)
+    moving.following.stop()
+    moving.desk.advance(20_000.0)
+    assert not old.pipe.open and not moving.dials(8600)
+
+
+def test_a_file_read_again_wins_over_the_environment_in_where_discovery_is(tmp_path):
+    """The environment is as old as the process: heeded again, it would undo every move."""
+    path = tmp_path / "config.json"
+    environ = {"LB_CONFIG": str(path), "LB_DISCOVERY": "127.0.0.1:3"}
+    path.write_text(json.dumps(CONFIG))
+    assert load(environ).discovery.address == ("127.0.0.1", 3)
+    assert load(environ, again=True).discovery.address == ("127.0.0.1", 2)
+    path.write_text(json.dumps({**CONFIG, "discovery": "nowhere"}))
+    with pytest.raises(ConfigError, match=r"^discovery "):
+        load(environ, again=True)
+
+
+class Source(threading.Thread):
+    """A discovery that names one worker and keeps the watch open."""
+
+    def __init__(self, worker):
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.worker = worker
+        self.asked = queue.Queue()
+        self.ended = queue.Queue()
+        self.start()
+
+    def run(self):
+        while True:
+            sock, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        with sock:
+            self.asked.put(sock.recv(65536))
+            endpoint = {"name": "w", "address": f"127.0.0.1:{self.worker}", "status": "SERVING"}
+            told = json.dumps({"index": 1, "snapshot": True, "endpoints": [endpoint]}).encode() + b"\n"
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            sock.sendall(b"%x\r\n%s\r\n" % (len(told), told))
+            self.ended.put(sock.recv(65536) == b"")
+
+
+class Holding(Answering):
+    """A worker that answers once it is let."""
+
+    def __init__(self):
+        self.came, self.let = threading.Event(), threading.Event()
+        super().__init__()
+
+    def hold(self):
+        self.came.set()
+        assert self.let.wait(30)
+
+
+def test_the_program_moves_on_sighup_and_keeps_the_job_that_is_out(tmp_path):
+    worker = Holding()
+    old, new, port, path = Source(worker.port), Source(worker.port), free_port(), tmp_path / "config.json"
+    told = {**CONFIG, "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{old.port}"}
+    path.write_text(json.dumps(told))
+    environ = {**os.environ, "LB_CONFIG": str(path), "LB_DISCOVERY": told["discovery"]}
+    process = subprocess.Popen(
+        [sys.executable, "-m", "eiderfield"], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True
+    )
+    try:
+        assert "listens on" in process.stderr.readline()
+        assert b"watch=1" in old.asked.get(timeout=30)
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            sock.sendall(b"POST /echo/a HTTP/1.1\r\nX-Request-Id: 1\r\nContent-Length: 3\r\n\r\nabc")
+            assert worker.came.wait(30)
+            path.write_text(json.dumps({**told, "discovery": 5}))
+            process.send_signal(signal.SIGHUP)
+            assert "not taken: discovery is not a table" in process.stderr.readline()
+            path.write_text(json.dumps({**told, "discovery": f"127.0.0.1:{new.port}"}))
+            process.send_signal(signal.SIGHUP)
+            assert b"watch=1" in new.asked.get(timeout=30)
+            assert old.ended.get(timeout=30)
+            worker.let.set()
+            assert ask(sock, b"")[0] == 200
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
