Give each state of a client's connection its limit, and refuse ids that are in use

Profile: 71,000 calls of Door._accept for 7,138 connections, 2.9 million of Acquirer.quiet. Cause: make_room closed connections whose transport was not up yet; connection_made then kept them open and nobody knew them. Descriptors leaked, accept failed with EMFILE, and the level-triggered listener spun. Ruled out: the wheel (0.05 s) and the parser (0.07 s) cost little in that profile.

Faults read in the code and closed here, each with its test: 30 s for an unfinished message and none for silence; 60 MB read and thrown away; errors that left connections open; a flood of messages taken in one turn; writing on to who does not read; the id of an open job taken twice; a worker's 4xx sent on to other workers and held against it.

--- a/eiderfield/batch/front.py
+++ b/eiderfield/batch/front.py
@@ -44,6 +44,7 @@
     def message(self, door: Door, acquirer: Acquirer, head: Head, body: bytes) -> Callable[[], None] | None:
         """Answers everything at once but a wait, which it answers when the job is final."""
         try:
+            acquirer.proven = True  # a batch client's errors are answers like others: its connection may stay
             return self._route(door, acquirer, head, body)
         except DrmaaError as error:
             refuse(acquirer, error)
--- a/eiderfield/batch/jobs.py
+++ b/eiderfield/batch/jobs.py
@@ -171,6 +171,8 @@
     def _take(self, template: JobTemplate) -> Record:
         self.expire()
         self._last += 1
+        while self._exchange.holds(f"{self._prefix}.{self._last}"):  # another front's client uses that id
+            self._last += 1
         body = template.body.encode()
         self._bytes += len(body)
         # The body goes with the authorisation and is let go with it.
--- a/eiderfield/exchange.py
+++ b/eiderfield/exchange.py
@@ -64,6 +64,7 @@
     SERVED = "served"
     DECLINED = "declined"
     FAILED = "failed"
+    REJECTED = "rejected"  # a worker cannot use the job
     TERMINATED = "terminated"
 
 
@@ -153,6 +154,7 @@
         self._log = log
         self._legs: Legs | None = None
         self._jobs: dict[int, Job] = {}
+        self._ids: set[str] = set()  # of the jobs that are not over or still have a leg out
         self._last_id = 0
         self._news: list[Event] = []  # of the routing table: applied before anything else of the turn
         self._events: list[Event] = []
@@ -185,8 +187,15 @@
 
     # Fronts.
 
+    def holds(self, id_: str) -> bool:
+        """Whether a job of this id is not over, or has a leg out: another would be a second copy of it."""
+        return id_ in self._ids
+
     def submit(self, authorisation: Authorisation, answer: Callable[[Answer], None]) -> int:
         """Takes a job. `answer` is called once, never before this returns."""
+        if self.holds(authorisation.id):
+            raise ValueError(f"job {authorisation.id} is there already")
+        self._ids.add(authorisation.id)
         self._last_id += 1
         job = Job(self._last_id, authorisation, answer)
         self._jobs[job.id] = job
@@ -251,11 +260,21 @@
             self._finish(job, Answer(Verdict.SERVED, result, may_have_run=True, legs=len(job.legs)))
         self.ended(leg, Outcome.OK)
 
+    def rejected(self, leg: Leg) -> None:
+        """A worker said that the job itself is faulty: no other one could use it, and the worker is well."""
+        if not leg.open:
+            return
+        job = leg.job
+        if not job.answered:
+            self._finish(job, Answer(Verdict.REJECTED, may_have_run=may_have_run(job), legs=len(job.legs)))
+        self.ended(leg, Outcome.ERROR)
+
     def ended(self, leg: Leg, outcome: Outcome) -> None:
         """A leg is over."""
         if not leg.open:
             return
         leg.open = False
+        self._let_go(leg.job)
         self._out.pop((leg.job.id, leg.number), None)
         leg.may_have_run = leg.may_have_run and outcome not in NEVER_RAN
         leg.job.running = False
@@ -346,11 +365,16 @@
         """The one place where a job gets its final answer, or ends without one."""
         job.answered = True
         del self._jobs[job.id]
+        self._let_go(job)
         if job.timer is not None:
             job.timer.cancel()
         if answer is not None:
             job.answer(answer)
 
+    def _let_go(self, job: Job) -> None:
+        if job.answered and not any(leg.open for leg in job.legs):
+            self._ids.discard(job.authorisation.id)
+
     def _overdue(self, job: Job) -> None:
         if not job.answered:
             self._log(f"job {job.id} had no answer when its time ended")
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from array import array
 from collections import OrderedDict
@@ -14,7 +15,7 @@
 from contextlib import suppress
 from enum import Enum
 from fcntl import ioctl
-from functools import partial
+from itertools import islice
 from math import isfinite
 from termios import FIONREAD
 from typing import Protocol
@@ -24,10 +25,20 @@
 from eiderfield.interface import Effect
 from eiderfield.net.http import Head, Malformed, Parser, answer_bytes
 
-SLOW = 30_000.0  # ms that a client may take to send a message it has begun
+WHOLE = 2500.0  # ms from connecting, or from a message's first byte, until a message must be whole
+KEPT = 300_000.0  # ms that a connection may idle which has brought an authorisation
 LINGER = 1000.0  # ms for which input is thrown away after an error, so that the answer gets through
+LINGER_BYTES = 262_144  # input thrown away meanwhile; more stays unread, for 60 MB of it cost a core
 PIPELINED = 16384  # bytes that may come in while an answer is awaited
+AT_ONCE = 16  # messages of one connection taken in a turn, and connections accepted in one
+LOOKED_AT = 16  # connections looked at for one that may give way: a full house must not cost a scan for each
+YOUNG = 500.0  # ms for which a half-sent message is not given up for want of room
+AGAIN = 20.0  # ms until accepting is tried again when nothing could give way
 BACKLOG = 512
+MOST_NEEDED = 100_000.0  # slots or units of memory
+
+_NEEDS = {"slots", "memory"}
+_WORD = re.compile(r"[!-~]{1,256}\Z")
 
 _SCRATCH = memoryview(bytearray(65536))
 
@@ -54,6 +65,8 @@
     def __init__(self, door: Door, sock: socket.socket | None = None) -> None:
         self.door = door
         self.phase = Phase.READING
+        self.proven = False  # whether it has brought an authorisation
+        self.since = door.clock()  # when it connected, or when its last message was answered
         self._sock = sock
         self._transport: asyncio.Transport | None = None
         self._parser = Parser()
@@ -61,21 +74,31 @@
         self._body = bytearray()
         self._gone: Callable[[], None] | None = None
         self._timer: Timer | None = None
+        self._begun = False  # whether the timer is that of a message, which further bytes do not extend
         self._taking = False
+        self._choked = False  # whether nothing more is taken for now
+        self._thrown = 0
+        self._limit()
 
     # What asyncio calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if self.phase == Phase.CLOSED:  # it gave way before it was up: left open, its descriptor would leak
+            transport.abort()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return _SCRATCH
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self.phase in (Phase.LINGERING, Phase.CLOSED):
+        if self.phase == Phase.LINGERING:
+            self._thrown += nbytes
+            if self._thrown > LINGER_BYTES and self._transport is not None:
+                self._transport.pause_reading()
+            return
+        if self.phase == Phase.CLOSED:
             return
-        self.door.used(self)
         self._parser.feed(_SCRATCH[:nbytes])
         if self.phase == Phase.READING:
             self._take()
@@ -98,22 +121,39 @@
         if gone is not None:
             gone()
 
+    def pause_writing(self) -> None:
+        self._choke(True)  # it leaves unread what was written to it
+
+    def resume_writing(self) -> None:
+        self._choke(False)
+
     # What fronts and the door call.
 
     def answer(self, status: int, body: bytes = b"", **headers: str) -> None:
         """The whole answer to the message that was taken."""
+        self._answer(status, body, True, headers)
+
+    def reject(self, status: int, text: str, **headers: str) -> None:
+        """Answers what can't be taken and closes: who sends such things would otherwise keep a descriptor."""
+        self._answer(status, f"{text}\n".encode(), False, {"Content_Type": "text/plain", **headers})
+
+    def _answer(self, status: int, body: bytes, keep: bool, headers: dict[str, str]) -> None:
         if self.phase != Phase.WAITING or self._transport is None or self._head is None:
             return
         self._gone = None
         # While the program ends, each answer asks the client to go elsewhere, unless more has come meanwhile.
-        keep = self._head.keeps and (not self.door.draining or self._parser.buffered > 0)
+        keep = keep and self._head.keeps and (not self.door.draining or self._parser.buffered > 0)
         self._transport.write(answer_bytes(status, body, keep, **headers))
         self._head = None
         if not keep:
             self._linger()
             return
         self.phase = Phase.READING
-        self._transport.resume_reading()
+        self.since = self.door.clock()
+        self.door.idles(self)
+        self._limit()
+        if not self._choked:
+            self._transport.resume_reading()
         if not self._taking:  # else its loop goes on: thousands of pipelined messages must not nest
             self._take()
 
@@ -129,38 +169,76 @@
             ioctl(self._sock.fileno(), FIONREAD, unread)
         return not unread[0]
 
+    @property
+    def spare(self) -> bool:
+        """Whether this connection may give way to another."""
+        if self.phase == Phase.LINGERING:
+            return True
+        return self.quiet or (not self.proven and self.door.clock() >= self.since + YOUNG)
+
     def close(self) -> None:
         """Closes the connection once what was written to it has left."""
+        if self.phase == Phase.CLOSED:
+            return
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self._linger()  # a client that never reads must not hold its descriptor for ever
+        else:
+            self.abort()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
         if self.phase != Phase.CLOSED:
             self._disarm()
             self.phase = Phase.CLOSED
             self.door.forget(self)
             if self._transport is not None:
-                self._transport.close()
+                self._transport.abort()
 
     def _linger(self) -> None:
         """Ends the sending and throws input away, for closing on unread input would take the answer back."""
         self.phase = Phase.LINGERING
         self._disarm()
+        self.door.idles(self)
         if self._transport is not None and not self._transport.is_closing():
             with suppress(OSError):
                 self._transport.write_eof()
-            self._timer = self.door.timers.at(self.door.clock() + LINGER, self.close)
+            if not self._choked:
+                self._transport.resume_reading()
+        self._timer = self.door.timers.at(self.door.clock() + LINGER, self.abort)
 
     def _reject(self, error: Malformed) -> None:
         self.phase = Phase.WAITING
-        self._head = Head(version=0)  # which does not keep the connection
-        self.answer(error.status, f"{error}\n".encode(), Content_Type="text/plain")
+        self._head = Head()
+        self.reject(error.status, str(error))
 
     def _disarm(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def _limit(self) -> None:
+        """Sets how long the connection may stay as it is."""
+        self._begun = self._head is not None or not self._parser.between
+        self._disarm()
+        wait = KEPT if self.proven and not self._begun else WHOLE
+        self._timer = self.door.timers.at(self.door.clock() + wait, self._late)
+
+    def _late(self) -> None:
+        if self.phase == Phase.READING and self._begun:
+            self._reject(Malformed("the message took too long", 408))
+        elif self.quiet:
+            self.close()
+        elif self.phase == Phase.READING:  # something came at this very moment
+            self._limit()
+
     def _take(self) -> None:
+        """Takes what has come, a bounded number of messages at a time."""
+        if self._taking or self.phase != Phase.READING or self._choked:
+            return
         self._taking = True
+        taken = 0
         try:
-            while self.phase == Phase.READING:
+            while self.phase == Phase.READING and not self._choked and taken < AT_ONCE:
                 got = self._parser.poll()
                 if got is None:
                     break
@@ -172,20 +250,45 @@
                 elif isinstance(got, bytes):
                     self._body += got
                 elif self._head is not None:
+                    taken += 1
                     self._disarm()
                     self.phase = Phase.WAITING
                     gone = self.door.front.message(self.door, self, self._head, bytes(self._body))
                     if self._head is not None:
                         self._gone = gone
+                        self.door.works(self)
         except Malformed as error:
             self._reject(error)
         finally:
             self._taking = False
-        started = self._head is not None or not self._parser.between
-        if self.phase == Phase.READING and started and self._timer is None:
-            # A client that never finishes its message must not hold a descriptor for ever.
-            late = Malformed("the message took too long", 408)
-            self._timer = self.door.timers.at(self.door.clock() + SLOW, partial(self._reject, late))
+        if self.phase != Phase.READING:
+            return
+        if taken == AT_ONCE:  # the others' turn
+            self._disarm()
+            self._choke(True)
+            self._timer = self.door.timers.at(self.door.clock(), self._go_on)
+        elif not self._begun and (self._head is not None or not self._parser.between):
+            if self.proven:  # a new connection's time runs from its start, whatever it drips
+                self._limit()
+            self._begun = True
+
+    def _go_on(self) -> None:
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self._timer = self.door.timers.at(self.door.clock(), self._go_on)  # it does not read
+            return
+        self._limit()
+        self._choke(False)
+
+    def _choke(self, choked: bool) -> None:
+        """Takes nothing more from this client, or takes it again."""
+        self._choked = choked
+        if self._transport is None:
+            return
+        if choked:
+            self._transport.pause_reading()
+        elif self.phase in (Phase.READING, Phase.LINGERING):
+            self._transport.resume_reading()
+            self._take()
 
 
 class Door:
@@ -197,7 +300,11 @@
         self.clock = clock
         self.draining = False
         self._most = most
-        self._acquirers: OrderedDict[Acquirer, None] = OrderedDict()  # the longest unused first
+        self._acquirers: set[Acquirer] = set()
+        # Those that may give way, the longest so first: those that owe us a first authorisation or have had
+        # their last answer, and those that idle between authorisations.
+        self._unproven: OrderedDict[Acquirer, None] = OrderedDict()
+        self._idle: OrderedDict[Acquirer, None] = OrderedDict()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._listener: socket.socket | None = None
         self._full = False
@@ -229,7 +336,7 @@
     def stop_listening(self) -> None:
         """Closes the port after taking whoever is connected already."""
         if self._loop is not None and self._listener is not None:
-            self._accept()
+            self._accept(BACKLOG)
             self._loop.remove_reader(self._listener)
             self._listener.close()
             self._listener = None
@@ -246,43 +353,51 @@
         for acquirer in list(self._acquirers):
             acquirer.close()
 
-    def used(self, acquirer: Acquirer) -> None:
-        """A connection brought something."""
-        if acquirer in self._acquirers:
-            self._acquirers.move_to_end(acquirer)
-
     def join(self, acquirer: Acquirer) -> None:
         """A connection is taken."""
-        self._acquirers[acquirer] = None
+        self._acquirers.add(acquirer)
+        self._unproven[acquirer] = None
+
+    def works(self, acquirer: Acquirer) -> None:
+        """A connection waits for an answer: it may not give way."""
+        self._unproven.pop(acquirer, None)
+        self._idle.pop(acquirer, None)
+
+    def idles(self, acquirer: Acquirer) -> None:
+        """A connection has had its answer."""
+        self.works(acquirer)
+        kept = acquirer.proven and acquirer.phase == Phase.READING
+        (self._idle if kept else self._unproven)[acquirer] = None
 
     def forget(self, acquirer: Acquirer) -> None:
         """A connection is over."""
-        self._acquirers.pop(acquirer, None)
-        if self._full and self._loop is not None and self._listener is not None:
-            self._full = False
-            self._loop.add_reader(self._listener, self._accept)
+        self._acquirers.discard(acquirer)
+        self.works(acquirer)
+        self._accept_again()
 
     def make_room(self) -> bool:
-        """Whether one more connection may be taken; the longest idle one gives way if it must."""
+        """Whether one more connection may be taken; one that may give way does so if it must."""
         if len(self._acquirers) >= self._most:
-            idle = next((acquirer for acquirer in self._acquirers if acquirer.quiet), None)
-            if idle is not None:
-                idle.close()
+            for waiting in (self._unproven, self._idle):
+                spare = next((acquirer for acquirer in islice(waiting, LOOKED_AT) if acquirer.spare), None)
+                if spare is not None:
+                    spare.abort()
+                    break
         return len(self._acquirers) < self._most
 
-    def _accept(self) -> None:
+    def _accept(self, most: int = AT_ONCE) -> None:
         assert self._loop is not None and self._listener is not None
-        for _ in range(BACKLOG):
+        for _ in range(most):
             if not self.make_room():
                 # Clients wait in the backlog until a connection ends: closing one would lose its request.
-                self._full = True
-                self._loop.remove_reader(self._listener)
+                self._wait()
                 return
             try:
                 sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError):
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-            except OSError:  # the client has left again, or descriptors are short for a moment
+            except OSError:  # descriptors are short: the listener stays readable, and asking on would spin
+                self._wait()
                 return
             sock.setblocking(False)
             acquirer = Acquirer(self, sock)
@@ -291,6 +406,17 @@
             self._joining.add(task)
             task.add_done_callback(self._joining.discard)
 
+    def _wait(self) -> None:
+        if self._loop is not None and self._listener is not None and not self._full:
+            self._full = True
+            self._loop.remove_reader(self._listener)
+            self.timers.at(self.clock() + AGAIN, self._accept_again)
+
+    def _accept_again(self) -> None:
+        if self._full and self._loop is not None and self._listener is not None:
+            self._full = False
+            self._loop.add_reader(self._listener, self._accept)
+
     async def _join(self, acquirer: Acquirer, sock: socket.socket) -> None:
         assert self._loop is not None
         try:
@@ -319,16 +445,20 @@
         parts = path.split("/")
         number = self._classes.get(parts[1]) if len(parts) > 1 and not parts[0] else None
         if number is None:
-            acquirer.answer(404, b"no such class\n")
+            acquirer.reject(404, "no such class")
             return None
         if head.method != "POST":
-            acquirer.answer(405, b"jobs arrive by POST\n", Allow="POST")
+            acquirer.reject(405, "jobs arrive by POST", Allow="POST")
             return None
         try:
             authorisation = self._read(number, parts[2:], head, body)
         except Malformed as error:
-            acquirer.answer(error.status, f"{error}\n".encode())
+            acquirer.reject(error.status, str(error))
+            return None
+        if self._exchange.holds(authorisation.id):  # a second copy would reach the workers
+            acquirer.reject(409, "X-Request-Id is that of a job which is not over yet")
             return None
+        acquirer.proven = True
         id_ = self._exchange.submit(authorisation, lambda answer: tell(acquirer, answer))
         return lambda: self._gone(id_)
 
@@ -337,10 +467,12 @@
 
     def _read(self, number: int, parts: list[str], head: Head, body: bytes) -> Authorisation:
         cls = self._exchange.site.classes[number]
-        if not head.get("x-request-id"):
-            raise Malformed("X-Request-Id is missing")
-        if cls.effect == Effect.KEYED and not head.get("idempotency-key"):
-            raise Malformed("Idempotency-Key is missing")
+        for name in ("X-Request-Id", "Idempotency-Key"):
+            word = head.get(name.lower())
+            if not word and (name == "X-Request-Id" or cls.effect == Effect.KEYED):
+                raise Malformed(f"{name} is missing")
+            if word and not _WORD.match(word):
+                raise Malformed(f"{name} is not a plain word")
         wait = cls.deadline
         if "x-deadline-ms" in head.headers:
             text = head.get("x-deadline-ms")
@@ -376,6 +508,8 @@
             raise Malformed(f"X-Extras: {name} is not a number") from None
         if not isfinite(figures[name]):
             raise Malformed(f"X-Extras: {name} is not a number")
+        if name in _NEEDS and not 0.0 <= figures[name] <= MOST_NEEDED:
+            raise Malformed(f"X-Extras: no worker has such {name}")
     return figures
 
 
@@ -386,5 +520,7 @@
     elif answer.verdict == Verdict.DECLINED:
         advice = {"Retry_After": f"{answer.retry_after / 1000.0:.3f}"} if answer.retry_after > 0.0 else {}
         acquirer.answer(503, b"declined\n", **advice)
+    elif answer.verdict == Verdict.REJECTED:
+        acquirer.reject(400, "no worker can use this job")
     else:
         acquirer.answer(502, b"failed\n")
--- a/eiderfield/net/wheel.py
+++ b/eiderfield/net/wheel.py
@@ -34,6 +34,7 @@
     ) -> None:
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
         self._tick = int(now // TICK)  # up to and with this one all has been called
+        self._told = inf  # the tick that `next_at` gave last; an earlier timer is a change
         self._changed = changed
         self._failed = failed
 
@@ -41,18 +42,26 @@
         """Calls at the first tick at or after `when`, never within the call that asks for it."""
         timer = Timer(max(ceil(when / TICK), self._tick + 1), call)
         self._slots[timer.tick % SLOTS].append(timer)
-        self._changed()
+        if timer.tick < self._told:  # looking through the slots for each timer would cost more than all else
+            self._changed()
         return timer
 
     def next_at(self) -> float:
-        """When the next timer is due, at the latest one round from now; infinity if there is none."""
+        """When the next timer is due, at the latest one round from now; infinity if there is none.
+
+        From then on `changed` is called for timers that are due earlier.
+        """
+        self._told = self._next()
+        return self._told * TICK
+
+    def _next(self) -> float:
         later = inf
         for tick in range(self._tick + 1, self._tick + 1 + SLOTS):
             for timer in self._slots[tick % SLOTS]:
                 if timer.call is not None:
                     if timer.tick == tick:
-                        return tick * TICK
-                    later = (self._tick + SLOTS) * TICK
+                        return tick
+                    later = self._tick + SLOTS
         return later
 
     def advance(self, now: float) -> None:
--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -194,6 +194,11 @@
             return
         self.head = head
         if isinstance(self.load, Leg) and head.status != 200:
+            if 400 <= head.status < 500 and head.status not in _NOT_THE_JOBS:
+                leg = self.load
+                self._tail()
+                self.side.exchange.rejected(leg)
+                return
             unstarted = head.status in (503, 504) and head.get("x-not-run") == "1"
             self._end(Outcome.FULL if unstarted else Outcome.ERROR)
 
@@ -269,6 +274,7 @@
             self.side.probed(load, head.status)
 
 
+_NOT_THE_JOBS = (408, 425, 429)  # which speak of time and of load
 _ENDS = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -42,6 +42,9 @@
     def write_eof(self):
         self.ended = True
 
+    def get_write_buffer_size(self):
+        return len(self.written) if self.stuck else 0
+
     def set_write_buffer_limits(self, high=None, low=None):
         pass
 
--- /dev/null
+++ b/tests/test_rude.py
@@ -0,0 +1,276 @@
+"""One small test for each way in which a client can be rude; the usual clients must not suffer."""
+
+import errno
+from dataclasses import replace
+
+import pytest
+from desk import SITE, Client, Desk, Pipe
+
+from eiderfield.net.acquirer import (
+    AGAIN,
+    AT_ONCE,
+    KEPT,
+    LINGER,
+    LINGER_BYTES,
+    WHOLE,
+    YOUNG,
+    Acquirer,
+    Phase,
+)  # fmt: skip
+from eiderfield.net.wheel import TICK, Wheel
+
+OWED = 3000.0  # ms from connecting within which a rude client must have an error or a close
+
+
+def served(desk, client, id_="r0"):
+    """Lets a client be a usual one: it has had a job served."""
+    client.post(id_=id_)
+    (desk.dials[0].up() if desk.dials else desk.ends[-1]).finish()
+    assert client.answers()[0][0] == 200
+    return client
+
+
+def test_a_new_connection_that_says_nothing_is_closed_and_a_usual_client_may_idle():
+    desk = Desk()
+    silent, usual = Client(desk), served(desk, Client(desk))
+    desk.advance(OWED)
+    assert not silent.pipe.open and not silent.answers() and usual.pipe.open
+    desk.advance(KEPT)
+    assert not usual.pipe.open
+
+
+def test_dripped_bytes_extend_nothing():
+    desk = Desk()
+    client = Client(desk)
+    for _ in range(30):
+        client.send(b"x")
+        desk.advance(OWED / 30)
+    assert client.answers()[0][0] == 408
+
+
+def test_a_usual_client_has_the_same_time_for_each_message():
+    desk = Desk()
+    client = served(desk, Client(desk))
+    desk.advance(60_000.0)
+    client.send(b"POST /safe/a HTTP/1.1\r\n")
+    desk.advance(WHOLE / 2)
+    client.send(b"X-Request-Id: r1\r\n")
+    assert not client.answers()
+    desk.advance(WHOLE / 2 + 2 * TICK)
+    assert client.answers()[0][0] == 408
+
+
+def test_who_sends_what_cannot_be_taken_keeps_no_descriptor():
+    desk = Desk()
+    client = Client(desk)
+    client.send(b"POST /none HTTP/1.1\r\n\r\nPOST /safe/a HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n")
+    assert [status for status, *_ in client.answers()] == [404] and not desk.dials
+    desk.advance(LINGER + TICK)
+    assert not client.pipe.open
+
+
+def test_most_of_a_huge_body_stays_unread():
+    desk = Desk()
+    client = Client(desk)
+    client.send(b"POST /safe/a HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 60000000\r\n\r\n")
+    assert client.answers()[0][0] == 413
+    client.send(b"x" * (LINGER_BYTES - 1000))
+    assert not client.pipe.paused
+    client.send(b"x" * 2000)
+    assert client.pipe.paused
+    desk.advance(LINGER + TICK)
+    assert not client.pipe.open
+
+
+@pytest.mark.parametrize("leg", ["held", "out"])
+def test_the_id_of_an_open_job_is_not_taken_again(leg):
+    desk = Desk(workers=1)
+    first, second = desk.client(), Client(desk)
+    end = desk.dials[0].up() if leg == "out" else None
+    second.post(body=b"another")
+    assert second.answers()[0][0] == 409
+    end = end or desk.dials[0].up()
+    assert end.take() == ["r1"]
+    second.pipe.break_off()  # which must not withdraw the first one
+    end.finish()
+    assert first.answers()[0][0] == 200
+    first.post()
+    assert end.take() == ["r1"], "an id is free again once its job is over"
+
+
+def test_an_id_stays_taken_while_a_leg_of_an_answered_job_is_out():
+    desk = Desk(site=replace(SITE, may_cancel=False), workers=1)
+    client = desk.client(path="/unsafe/a", wait=100)
+    desk.dials[0].up().take()
+    [job] = desk.exchange._jobs.values()
+    job.legs[0].timer.cancel()  # its leg outlives the job
+    desk.advance(110.0)
+    assert client.answers()[0][0] == 502 and job.legs[0].open
+    client.post()
+    assert client.answers()[0][0] == 409
+
+
+@pytest.mark.parametrize("path", ["/safe/a", "/unsafe/a"])
+@pytest.mark.parametrize("status", [400, 404, 413])
+def test_a_job_that_a_worker_cannot_use_is_rejected_at_once(path, status):
+    """Sent on, it would waste every worker's time, and its errors would speak against healthy workers."""
+    desk = Desk(workers=2)
+    client = desk.client(path=path)
+    end = desk.dials[0].up()
+    end.status(status)
+    assert client.answers()[0][0] == 400 and not desk.dials and not desk.exchange.unanswered
+    assert all(not w.strikes for w in desk.exchange._module._workers.values())
+
+
+@pytest.mark.parametrize("status", [408, 429])
+def test_a_workers_word_about_time_or_load_does_not_reject_the_job(status):
+    desk = Desk(workers=2)
+    client = desk.client()
+    desk.dials[0].up().status(status)
+    assert not client.answers() and desk.exchange.unanswered
+
+
+@pytest.mark.parametrize(
+    "extras", ["slots=-1", "memory=-0.5", "slots=1e300", "memory=nan", "slots=1,slots", "slots=\xff"]
+)
+def test_needs_that_no_worker_meets_are_rejected_before_a_leg(extras):
+    desk = Desk()
+    client = Client(desk)
+    client.post(X_Extras=extras)
+    assert client.answers()[0][0] == 400 and not desk.dials
+
+
+@pytest.mark.parametrize("headers", [{"id_": "a b"}, {"id_": "\xe9"}, {"id_": "x" * 300},
+                                     {"Idempotency_Key": "a\tb"}])  # fmt: skip
+def test_ids_that_are_no_plain_words_are_rejected(headers):
+    desk = Desk()
+    client = Client(desk)
+    headers = {"Idempotency_Key": "k", **headers}
+    lines = f"POST /keyed/a HTTP/1.1\r\nX-Request-Id: {headers.pop('id_', 'r1')}\r\n"
+    client.send((lines + f"Idempotency-Key: {headers['Idempotency_Key']}\r\n\r\n").encode("latin-1"))
+    assert client.answers()[0][0] == 400 and not desk.dials
+
+
+def test_a_client_that_does_not_read_is_not_read_either():
+    desk = Desk()
+    client = Client(desk)
+    client.pipe.stuck = True
+    client.send(b"GET /ready HTTP/1.1\r\n\r\n" * 10)
+    assert client.pipe.paused and len(client.answers()) == 1
+    client.pipe.unstick()
+    assert not client.pipe.paused and len(client.answers()) == 9
+
+
+def test_a_client_that_never_reads_its_last_answer_keeps_no_descriptor():
+    desk = Desk()
+    client = Client(desk)
+    client.pipe.stuck = True
+    client.send(b"GET /ready HTTP/1.1\r\n\r\n")
+    client.acquirer.close()
+    assert client.pipe.open
+    desk.advance(LINGER + TICK)
+    assert not client.pipe.open
+
+
+def test_a_connection_that_gave_way_before_it_was_up_is_closed_when_it_comes_up():
+    """Its descriptor leaked, until none was left and accepting failed on and on."""
+    desk = Desk(most=1)
+    acquirer = Acquirer(desk.door)
+    desk.door.join(acquirer)
+    assert desk.door.make_room() and acquirer.phase == Phase.CLOSED
+
+    pipe = Pipe(acquirer)
+    acquirer.connection_made(pipe)
+    assert not pipe.open
+
+
+def test_who_has_proved_nothing_gives_way_before_an_idle_usual_client():
+    desk = Desk(most=3)
+    usual = served(desk, Client(desk))
+    silent, half = Client(desk), Client(desk)
+    half.send(b"POST /safe")
+    assert desk.door.make_room() and not silent.pipe.open and usual.pipe.open
+    desk.advance(YOUNG)
+    busy = desk.client(id_="r7")
+    assert desk.door.make_room() and not half.pipe.open and usual.pipe.open
+    Client(desk).post(id_="r8")
+    assert desk.door.make_room() and not usual.pipe.open and busy.pipe.open
+
+
+class Loop:
+    """The loop's part in accepting."""
+
+    def __init__(self):
+        self.reading = True
+        self.tasks = []
+
+    def add_reader(self, listener, call):
+        self.reading = True
+
+    def remove_reader(self, listener):
+        self.reading = False
+
+    def create_task(self, coroutine):
+        coroutine.close()
+        self.tasks.append(coroutine)
+        return self
+
+    def add_done_callback(self, call):
+        pass
+
+
+class Listener:
+    """A port with so many in its backlog, or one that fails."""
+
+    def __init__(self, waiting=0, fault=None):
+        self.waiting, self.fault, self.asked = waiting, fault, 0
+
+    def accept(self):
+        self.asked += 1
+        if self.fault is not None:
+            raise OSError(self.fault, "no")
+        if not self.waiting:
+            raise BlockingIOError
+        self.waiting -= 1
+        return self, None
+
+    def setblocking(self, flag):
+        pass
+
+    def fileno(self):
+        return -1
+
+
+def test_a_lack_of_descriptors_does_not_spin_the_loop():
+    desk = Desk()
+    desk.door._loop, desk.door._listener = loop, listener = Loop(), Listener(fault=errno.EMFILE)
+    desk.door._accept()
+    assert listener.asked == 1 and not loop.reading
+    desk.advance(AGAIN + TICK)
+    assert loop.reading
+
+
+def test_a_burst_of_connections_is_taken_in_turns_and_a_full_house_waits():
+    desk = Desk(most=AT_ONCE + 2)
+    desk.door._loop, desk.door._listener = loop, _ = Loop(), Listener(waiting=500)
+    busy = [desk.client(id_=f"r{n}") for n in range(2)]
+    desk.door._accept()
+    assert len(loop.tasks) == AT_ONCE and loop.reading
+    desk.door._most = 2
+    for acquirer in list(desk.door._unproven):
+        acquirer.abort()
+    desk.door._accept()
+    assert not loop.reading and all(client.pipe.open for client in busy)
+    busy[0].pipe.break_off()
+    assert loop.reading
+
+
+def test_only_a_timer_earlier_than_all_asks_the_loop_for_another_time():
+    asked = []
+    wheel = Wheel(0.0, changed=lambda: asked.append(1))
+    wheel.at(100.0, list)
+    wheel.next_at()
+    wheel.at(200.0, list)
+    assert len(asked) == 1
+    wheel.at(50.0, list)
+    assert len(asked) == 2
