Send on what is stuck at silent connections, and weigh workers by their pace

Traces of legs showed jobs held to their deadlines on connections that said nothing more, healthy workers rested for single resets (and then barred to keyed jobs), and a watch that fell silent for 5 s while released workers came and went unheard. At fault: decide.py _check_silence asked for a second copy, which this platform forbids, and _ended struck a worker for each RESET; routing.py SILENCE was 5 s though an empty line comes every 2 s.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -18,9 +18,9 @@
 from typing import Any
 
 from eiderfield.interface import (
-    NEVER_RAN, REPEAT, STARTED, Action, Arrived, Cancel, ClientGone, Due, Effect, Ended, Entry, Event, Fail,
-    Flowing, JobClass, Listed, ListKind, Log, Noted, Outcome, PeerSaid, Probe, Probed, Refuse, Scope, Send,
-    SetTimer, Settings, Snapshot, State, Tell, Watch, pack_counts, unpack_counts,
+    NEVER_RAN, REPEAT, STARTED, Action, Arrived, Cancel, ClientGone, CloseIdle, Due, Effect, Ended, Entry,
+    Event, Fail, Flowing, JobClass, Listed, ListKind, Log, Noted, Outcome, PeerSaid, Probe, Probed, Refuse,
+    Scope, Send, SetTimer, Settings, Snapshot, State, Tell, Watch, pack_counts, unpack_counts,
 )
 
 
@@ -53,9 +53,14 @@
 STRIKE_PAUSE_MOST = 4000.0
 SILENT_NOTES = 1.6  # intervals between progress notes that may pass without a sign of life
 SILENT_RUNS = 3.0  # mean running times that may pass where there are no notes
+STUCK_RUNS = 8.0  # mean running times that a job may wait unstarted before it is called off to go elsewhere
+STUCK_NOTES = 3.6  # as SILENT_NOTES, for one job of a worker that gives others: pauses swallow notes
 COLD_MARGIN = 0.5  # share of the cold allowance that is used, for what other nodes and chance add
 RETRY_SHARE = 0.1  # repeats of what may have run, as a share of sends
 EWMA = 0.05  # weight of a new observation in a mean
+SLOW = 2.3  # how many times longer than usual jobs run where a worker counts as slow
+PACE_JOBS = 3.0  # jobs of the usual length that a worker is credited with, so that one long job says little
+PACE_HOLDS = 5000.0  # ms over which what a worker has had running is remembered
 QUIET_RATE = 4000.0  # ms over which the rate of served work is averaged
 
 
@@ -68,8 +73,10 @@
     worker: Worker
     entry: Entry  # the worker's as it was at the send: an id may come back in another zone or cell
     sent: float
+    heard: float  # its own last sign of life, for a connection can fall silent under a worker that is well
     started: float | None = None
     open: bool = True
+    given_up: bool = False
     may_have_run: bool = True  # until an outcome proves that it did not
 
 
@@ -131,6 +138,10 @@
     heard: float = 0.0
     full_until: float = 0.0
     strikes: int = 0
+    ran: float = 0.0  # what ran here lately and is over, in usual running times
+    done: float = 0.0  # how many of these jobs were done
+    faded: float = 0.0
+    resets: int = 0  # in a row, without a sign of life between
     suspect_until: float = 0.0
     silent: bool = False
     recent: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=64))  # cold: time, work
@@ -150,10 +161,23 @@
         """A sign of life ends silence. Only a timely answer ends suspicion, or a slow worker never rests."""
         self.heard = now
         self.silent = False
+        self.resets = 0
         if well:
             self.strikes = 0
             self.suspect_until = 0.0
 
+    def learn(self, now: float, ran: float, done: bool) -> None:
+        """Takes in that a job which had started is over, after so many usual running times."""
+        kept = max(0.0, 1.0 - (now - self.faded) / PACE_HOLDS)
+        self.ran, self.done, self.faded = self.ran * kept + ran, self.done * kept + done, now
+
+    def pace(self, now: float) -> float:
+        """How much longer than usual jobs run here. Those still running count too: a worker that turns slow
+        shows it long before it ends them."""
+        kept = max(0.0, 1.0 - (now - self.faded) / PACE_HOLDS)
+        out = sum([(now - a.started) / a.job.run for a in self.open.values() if a.started is not None])
+        return (PACE_JOBS + self.ran * kept + out) / (PACE_JOBS + self.done * kept)
+
     def strike(self, now: float) -> None:
         """A failed connection, a reset or silence: no sends for a while, then one trial (half-open)."""
         self.strikes += 1
@@ -379,6 +403,8 @@
         worker, outcome = attempt.worker, event.outcome
         self._report(worker, event.load, now)
         attempt.may_have_run = outcome not in NEVER_RAN
+        if attempt.started is not None:
+            worker.learn(now, (now - attempt.started) / attempt.job.run, outcome == Outcome.OK)
         if outcome == Outcome.OK:
             self._served(attempt, event, now)
         elif outcome == Outcome.FULL:
@@ -386,8 +412,14 @@
             worker.full_until = now + LOOK_AGAIN
             if worker.entry.state == State.READY:  # a draining worker's hand-backs are no sign
                 attempt.job.lane.pacer.accepted -= 1
-        elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+        elif outcome == Outcome.CONNECT_FAILED:
             worker.strike(now)
+        elif outcome == Outcome.RESET:
+            # One connection can break under a worker that is well. A process that dies breaks all at once.
+            worker.resets += 1
+            worker.full_until = now + LOOK_AGAIN
+            if worker.resets > 1 and now >= worker.suspect_until:
+                worker.strike(now)
         elif outcome == Outcome.ERROR:
             worker.alive(now)
         if job is None:
@@ -422,6 +454,7 @@
             return
         worker = attempt.worker
         worker.alive(now)
+        attempt.heard = now
         if attempt.started is None and event.what == STARTED:
             attempt.started = now
             worker.unstarted -= 1
@@ -571,16 +604,48 @@
         if now < self._silence_at:
             return
         self._silence_at = INF
-        for worker in [w for w in self._listed if w.open and not w.silent]:
-            if now < (at := self._silence(worker)):
-                self._silence_at = min(self._silence_at, at)
-            else:
+        for worker in [w for w in self._workers.values() if w.open]:
+            if not worker.silent and worker.entry.state == State.READY and now >= self._silence(worker):
                 worker.silent = True
                 worker.strike(now)
                 self._actions.append(Log(f"worker {worker.entry.worker} silent, {len(worker.open)} jobs out"))
-                for attempt in worker.open.values():
-                    if attempt.job.queue is None and self._may_help(attempt.job, now):
-                        self._hold(attempt.job)
+            elif not worker.silent:
+                self._silence_at = min(self._silence_at, self._silence(worker))
+            for attempt in worker.open.values():
+                at = self._stuck(attempt)
+                if now >= at or (worker.silent and self._set.may_copy):
+                    self._give_up(attempt, now)
+                else:
+                    self._silence_at = min(self._silence_at, at)
+        if self._silence_at <= now:
+            self._silence_at = now + LOOK_AGAIN
+
+    def _stuck(self, attempt: Attempt) -> float:
+        """When an attempt is stuck: no note came in time or, if it has not started, its wait is too long."""
+        if attempt.given_up or attempt.job.bound:
+            return INF
+        if attempt.started is not None:
+            notes = SILENT_NOTES if attempt.worker.silent else STUCK_NOTES
+            return attempt.heard + notes * self._set.progress if self._set.progress else INF
+        run = attempt.job.lane.pacer.run_of(attempt.job.hint)
+        return attempt.sent + STUCK_RUNS * max(run, attempt.job.cls.aim) if self._set.tells_start else INF
+
+    def _give_up(self, attempt: Attempt, now: float) -> None:
+        """Sends a job on whose worker or connection says nothing, within what its class allows."""
+        job = attempt.job
+        if attempt.given_up or job.answered or job.queue is not None:
+            return
+        if self._set.may_copy:
+            if self._may_help(job, now):
+                attempt.given_up = True
+                self._hold(job)
+        elif self._set.may_cancel and self._retry_tokens >= 1.0:  # its end, when that is told, sends it on
+            limit = self._set.max_attempts
+            if any(self._usable(w, now) and may_resend(job, w, now, True, limit) for w in self._listed):
+                attempt.given_up = True
+                self._actions.append(Cancel(job.id, attempt.number))
+                if attempt.worker.silent:  # a trial on a connection open already would fall silent too
+                    self._actions.append(CloseIdle(attempt.worker.entry.worker))
 
     # Sending.
 
@@ -653,7 +718,10 @@
         tier = -self._shown(worker, now)
         if self._peers and worker.total(now) >= self._slots[worker.entry.kind]:
             tier = 1.0
-        return tier, self._far_costs and worker.entry.zone != self._set.zone, len(worker.open)
+        pace = worker.pace(now) if self._set.tells_start else 1.0
+        tier += pace > SLOW
+        load = (len(worker.open) + 1) * (pace if pace > SLOW else 1.0)
+        return tier, self._far_costs and worker.entry.zone != self._set.zone, ceil(load)
 
     def _homes(self, key: int, now: float) -> list[Worker]:
         """The free ones of a key's homes: as many as its share of this node's traffic needs (incident
@@ -700,7 +768,7 @@
         if over or not self._legal(job, worker, now):
             return
         self._unqueue(job)
-        attempt = Attempt(job, len(job.attempts), worker, worker.entry, now)
+        attempt = Attempt(job, len(job.attempts), worker, worker.entry, now, now)
         job.attempts.append(attempt)
         worker.open[(job.id, attempt.number)] = attempt
         worker.unstarted += 1
@@ -710,8 +778,7 @@
         if worker.cold_left < INF:
             worker.recent.append((now, job.cost))
             worker.cold_left -= job.cost
-        if len(worker.open) == 1:
-            self._silence_at = min(self._silence_at, self._silence(worker))
+        self._silence_at = min(self._silence_at, self._silence(worker), self._stuck(attempt))
         job.lane.pacer.count_send(now)
         self._retry_tokens = min(BURST, self._retry_tokens + RETRY_SHARE)
         self._actions.append(Send(job.id, worker.entry.worker))
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -15,7 +15,7 @@
 from eiderfield.net.worker import Address, Dial, Dialling, WorkerSide
 
 DIAL = 1000.0  # ms that a connection to the source may take to come up
-SILENCE = 5000.0  # ms without even an empty line, which comes every 2 s, until the watch is opened anew
+SILENCE = 2600.0  # ms without even an empty line, which comes every 2 s, until the watch is opened anew
 BACKOFF = 100.0  # ms until the next try, doubled up to BACKOFF_MOST
 BACKOFF_MOST = 1000.0
 MAX_LIST = 4 * 1024 * 1024  # bytes of one list: thousands of workers
