--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -53,6 +53,8 @@
 STRIKE_PAUSE_MOST = 4000.0
 SILENT_NOTES = 1.6  # intervals between progress notes that may pass without a sign of life
 SILENT_RUNS = 3.0  # mean running times that may pass where there are no notes
+FAULT_FADE = 0.8
+FAULTY = 1.5  # faults at which a worker is rested: two errors in a row, or every third job
 STUCK_RUNS = 8.0  # mean running times that a job may wait unstarted before it is called off to go elsewhere
 STUCK_NOTES = 3.6  # as SILENT_NOTES, for one job of a worker that gives others: pauses swallow notes
 COLD_MARGIN = 0.5  # share of the cold allowance that is used, for what other nodes and chance add
@@ -141,6 +143,8 @@
     ran: float = 0.0  # what ran here lately and is over, in usual running times
     done: float = 0.0  # how many of these jobs were done
     faded: float = 0.0
+    faults: float = 0.0  # errors, each ended job weighing less than the next by FAULT_FADE
+    fulls: int = 0  # in a row, without a start between
     resets: int = 0  # in a row, without a sign of life between
     suspect_until: float = 0.0
     silent: bool = False
@@ -162,10 +166,15 @@
         self.heard = now
         self.silent = False
         self.resets = 0
-        if well:
+        if well and not self.faulty:
             self.strikes = 0
             self.suspect_until = 0.0
 
+    @property
+    def faulty(self) -> bool:
+        """Whether it has lately failed more than one job in three or so."""
+        return self.faults > FAULTY
+
     def learn(self, now: float, ran: float, done: bool) -> None:
         """Takes in that a job which had started is over, after so many usual running times."""
         kept = max(0.0, 1.0 - (now - self.faded) / PACE_HOLDS)
@@ -403,14 +412,19 @@
         worker, outcome = attempt.worker, event.outcome
         self._report(worker, event.load, now)
         attempt.may_have_run = outcome not in NEVER_RAN
+        if outcome in (Outcome.OK, Outcome.ERROR):
+            worker.faults *= FAULT_FADE
         if attempt.started is not None:
             worker.learn(now, (now - attempt.started) / attempt.job.run, outcome == Outcome.OK)
         if outcome == Outcome.OK:
             self._served(attempt, event, now)
         elif outcome == Outcome.FULL:
             worker.alive(now)
-            worker.full_until = now + LOOK_AGAIN
-            if worker.entry.state == State.READY:  # a draining worker's hand-backs are no sign
+            worker.fulls += 1
+            worker.full_until = now + LOOK_AGAIN * 2.0 ** min(worker.fulls - 1, 3)
+            # A draining worker's hand-backs are no sign, nor is one worker's word while others are free: it
+            # held a class at its floor for ten seconds with most of the fleet idle.
+            if worker.entry.state == State.READY and not any(self._free(w, now) for w in self._mine):
                 attempt.job.lane.pacer.accepted -= 1
         elif outcome == Outcome.CONNECT_FAILED:
             worker.strike(now)
@@ -422,6 +436,10 @@
                 worker.strike(now)
         elif outcome == Outcome.ERROR:
             worker.alive(now)
+            # A worker that fails its jobs at once holds fewest of them and would draw all others in.
+            worker.faults += 1.0
+            if worker.faulty:
+                worker.strike(now)
         if job is None:
             del self._late_attempts[(event.id, event.attempt)]
         elif event.final:
@@ -457,6 +475,7 @@
         attempt.heard = now
         if attempt.started is None and event.what == STARTED:
             attempt.started = now
+            worker.fulls = 0
             worker.unstarted -= 1
             self._saw_slots(worker, len(worker.open) - worker.unstarted)
             # With many nodes one waiting job of each is a long queue (incident i1da742): after a wait, a node
@@ -705,7 +724,7 @@
 
     def _pick(self, job: Job, free: list[Worker], now: float) -> Worker | None:
         """The ready worker of the job's kind that holds fewest own jobs, ties broken at random."""
-        pool = self._homes(job.key, now) if job.key else free
+        pool = self._homes(job, now) if job.key else free
         if not job.key and job.first_run() is not None:  # its group may have no worker in this node's part
             pool = [w for w in self._listed if self._legal(job, w, now) and self._free(w, now)]
         ready = [(self._rank(w, now), w) for w in pool if self._ready(w, job, now)]
@@ -723,23 +742,34 @@
         load = (len(worker.open) + 1) * (pace if pace > SLOW else 1.0)
         return tier, self._far_costs and worker.entry.zone != self._set.zone, ceil(load)
 
-    def _homes(self, key: int, now: float) -> list[Worker]:
+    def _homes(self, job: Job, now: float) -> list[Worker]:
         """The free ones of a key's homes: as many as its share of this node's traffic needs (incident
         ia7713c), first in the key's own order (rendezvous hashing), the same at every node."""
+        key = job.key
         ring = self._rings.get(key)
         if ring is None:
             ring = self._rings[key] = sorted(self._listed, key=lambda w: _mix(key, w.entry.worker))
         most = max(HOMES, ceil(HOME_ROOM * self._keys[key] / max(1.0, self._keyed) * len(self._listed)))
-        # A cold worker is no home yet: its budget would hold up all that the key sends.
-        homes = islice((w for w in ring if self._usable(w, now) and not self._cold(w, now)), most)
+        homes = islice((w for w in ring if self._open_home(w, job, now)), most)
         return [w for w in homes if self._free(w, now)]
 
+    def _open_home(self, worker: Worker, job: Job, now: float) -> bool:
+        """Whether jobs should wait for this home rather than go to the key's next one. A cold worker's budget
+        would hold up all that the key sends; so would one that takes nothing, or only a trial of others."""
+        if (worker.fulls > 1 and now < worker.full_until) or not self._trusted(worker, job):
+            return False
+        return self._usable(worker, now) and not self._cold(worker, now)
+
+    def _trusted(self, worker: Worker, job: Job) -> bool:
+        """Whether the job may go there: a trial job is one of the class safest to repeat."""
+        return not worker.strikes or job.cls.effect == Effect.SAFE or not self._safe_known
+
     def _ready(self, worker: Worker, job: Job, now: float) -> bool:
         """Whether this worker may take this job: its kind, rule 2's group, and rule 4's budget."""
         if job.cls.kind >= 0 and worker.entry.kind != job.cls.kind:
             return False
-        if worker.strikes and job.cls.effect != Effect.SAFE and self._safe_known:
-            return False  # a trial job is one of the class safest to repeat
+        if not self._trusted(worker, job):
+            return False
         there = any(a.worker is worker and a.open for a in job.attempts)
         return not there and job.cost <= worker.cold_left and self._legal(job, worker, now)
 
--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -19,6 +19,7 @@
 MAX_LINE = 4 * 65536  # a result of 64 KiB, with every character escaped
 IDLE_MARGIN = 1000.0  # ms before workers close an idle connection: none is used nearer to that
 IDLE_SHARE = 0.5  # of that time, used at least, where it is short
+STALE = 10_000.0  # ms for which a worker's idle connections are not used after one proved dead under a leg
 TAIL = 1000.0  # ms that a worker may take to end an answer whose last line has come
 
 Address = tuple[str, int]
@@ -75,6 +76,7 @@
         self._parser = Parser(answers=True, max_body=0)
         self._text = bytearray()
         self._flushed = True  # whether all that was written has left
+        self._kept = False  # whether it carried something before
 
     # What asyncio calls.
 
@@ -184,6 +186,8 @@
     def _broke(self) -> None:
         """The answer broke off or cannot be read."""
         load, flushed = self.load, self._flushed
+        if self._kept and self.head is None and not self._parser.buffered:
+            self.side.stale(self.worker)
         self.close()
         if load is not None:
             # Only a request whose last byte never left is sure not to have run.
@@ -265,6 +269,7 @@
             self._broke()
             return
         self.load = None
+        self._kept = True
         self.side.disarm(self)
         if head is not None and head.keeps and not self._parser.buffered and self._parser.between:
             self.side.pool(self)
@@ -299,6 +304,7 @@
         self._reuse = max(conn_idle - IDLE_MARGIN, IDLE_SHARE * conn_idle)
         self._most = most
         self._addresses: dict[int, Address] = {}
+        self._stale: dict[int, float] = {}  # until when a worker's connections carry one leg each
         self._lines: set[Line] = set()
         self._idle: OrderedDict[Line, float] = OrderedDict()  # oldest first, with when each fell idle
         exchange.attach(self)
@@ -314,6 +320,7 @@
             self.close_idle(worker)
             if address is None:
                 self._addresses.pop(worker, None)
+                self._stale.pop(worker, None)
             else:
                 self._addresses[worker] = address
 
@@ -380,10 +387,19 @@
 
     def pool(self, line: Line) -> None:
         """A line carries nothing any more and may be used again."""
+        if self._clock() < self._stale.get(line.worker, 0.0):
+            line.close()
+            return
         line.phase = Phase.IDLE
         self._idle[line] = self._clock()
         self.arm(line, self._reuse, line.close)
 
+    def stale(self, worker: int) -> None:
+        """A kept connection broke before any answer. Where one is dead the others often are, and a leg on
+        each would be lost, which costs far more than new connections."""
+        self._stale[worker] = self._clock() + STALE
+        self.close_idle(worker)
+
     def arm(self, line: Line, wait: float, call: Callable[[], None]) -> None:
         """Sets the one timer of a line."""
         self.disarm(line)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -210,3 +210,32 @@
     slow.open.clear()
     assert slow.pace(1502.0) < 1.1
     assert slow.pace(20_000.0) == 1.0, "an old pace is forgotten: another program may have passed"
+
+
+def test_a_worker_that_fails_its_jobs_at_once_does_not_draw_all_others_in():
+    """It held fewest jobs at any time, so that every third job of a day failed there."""
+    node = Node(workers=2)
+    bad = node.dispatcher._workers[1]
+    at_bad = 0
+    for _ in range(40):
+        node.now += 20.0
+        id_, actions = node.arrive(cls=1)
+        [send] = sends(actions) or [None]
+        if send is not None and send.worker == 1:
+            at_bad += 1
+            node.end(id_, 0, 1, Outcome.ERROR)
+        elif send is not None:
+            node.play(Noted(id_, 0, 2, 1, 0.0))
+    assert at_bad == 2 and bad.strikes
+
+
+def test_one_answer_does_not_clear_a_worker_that_fails_every_third_job():
+    node = Node(workers=1)
+    worker = node.dispatcher._workers[1]
+    worker.faults = 3.0
+    worker.strike(0.0)
+    worker.alive(1.0, well=True)
+    assert worker.strikes
+    worker.faults = 1.0
+    worker.alive(1.0, well=True)
+    assert not worker.strikes
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import BASE, SAFE, UNSAFE, Node, sends
 
-from eiderfield.decide import GRB_PER_WORKER, Lane, Pacer
+from eiderfield.decide import GRB_PER_WORKER, Job, Lane, Pacer
 from eiderfield.interface import Arrived, Entry, Listed, ListKind, Noted, Outcome, Refuse, State
 
 
@@ -51,12 +51,40 @@
         id_, actions = node.arrive(cls=1)
         pacer = node.dispatcher._pacers[1]
         worker = sends(actions)[0].worker
+        for other in node.dispatcher._workers.values():
+            other.full_until = 1000.0 * (other.entry.worker != worker)
         before = pacer.sent - pacer.accepted
         node.play(Listed(ListKind.DELTA, 2, tuple(Entry(w, state=State.READY) for w in (worker,))))
         node.end(id_, 0, worker, outcome)
         assert pacer.sent - pacer.accepted - before == lost
 
 
+def test_one_workers_full_cuts_nothing_while_others_are_free():
+    """A worker that took nothing held a class at its floor for ten seconds, with most of the fleet idle."""
+    node = Node()
+    id_, actions = node.arrive(cls=1)
+    pacer = node.dispatcher._pacers[1]
+    node.end(id_, 0, sends(actions)[0].worker, Outcome.FULL)
+    assert pacer.sent - 1 == pacer.accepted - 1 == 1, "sent again, and neither send counted as not accepted"
+
+
+def test_a_worker_that_answers_full_again_and_again_is_asked_less_and_less():
+    node = Node(workers=1)
+    worker, waits = node.dispatcher._workers[1], []
+    for _ in range(4):
+        node.now += 10_000.0
+        id_, actions = node.arrive(due=100.0)
+        node.end(id_, 0, sends(actions)[0].worker, Outcome.FULL)
+        waits.append(worker.full_until - node.now)
+        node.play(at=node.now + 100.0)
+    assert waits == sorted(waits) and waits[-1] >= 4 * waits[0]
+    id_, _ = node.arrive()
+    node.now += 10_000.0
+    id_, actions = node.arrive()
+    node.play(Noted(id_, 0, 1, 1, 0.0))
+    assert worker.fulls == 0
+
+
 def test_a_draining_workers_full_cuts_nothing():
     node = Node()
     id_, actions = node.arrive()
@@ -168,12 +196,30 @@
     return used
 
 
+def keyed(key):
+    pacer = Pacer(0.3, 100.0)
+    return Job(0, key, 5000.0, 0.0, Lane(UNSAFE, pacer, 1.0), UNSAFE, 100.0, 100.0)
+
+
+def test_a_home_that_takes_nothing_or_only_trials_gives_way_to_the_keys_next():
+    """Jobs waited for such homes while other workers were idle."""
+    node = Node(workers=6)
+    node.now = 1.0
+    first, second = (w.entry.worker for w in node.dispatcher._homes(keyed(101), node.now))
+    workers = node.dispatcher._workers
+    workers[first].fulls, workers[first].full_until = 2, 500.0
+    workers[second].strikes = 1
+    homes = {w.entry.worker for w in node.dispatcher._homes(keyed(101), node.now)}
+    assert len(homes) == 2 and not homes & {first, second}
+    assert first in {w.entry.worker for w in node.dispatcher._homes(keyed(101), 600.0)}
+
+
 def test_a_rare_key_has_two_homes_the_same_at_every_node():
     first, second = Node(workers=8, seed=1), Node(workers=8, seed=2)
     for node in (first, second):
         for key in range(100, 140):
             sent_to(node, key, 1)
-    homes = [[w.entry.worker for w in n.dispatcher._homes(101, n.now)] for n in (first, second)]
+    homes = [[w.entry.worker for w in n.dispatcher._homes(keyed(101), n.now)] for n in (first, second)]
     assert homes[0] == homes[1] and len(homes[0]) == 2
 
 
--- a/tests/test_traps.py
+++ b/tests/test_traps.py
@@ -9,7 +9,7 @@
 from eiderfield.net.acquirer import AT_ONCE
 from eiderfield.net.http import MAX_BODY
 from eiderfield.net.routing import SILENCE, Watcher
-from eiderfield.net.worker import IDLE_MARGIN
+from eiderfield.net.worker import IDLE_MARGIN, STALE
 
 
 def outcomes(desk):
@@ -149,6 +149,46 @@
     assert len(desk.dials) == 1 and desk.side.lines == 1
 
 
+def test_where_a_kept_connection_proved_dead_the_others_are_not_used():
+    """Every fifth job of a day was lost on connections that their workers had quietly ended."""
+    desk = Desk(workers=1)
+    ends = []
+    for id_ in ("r1", "r2"):
+        desk.client(id_=id_)
+        ends.append(desk.dials[0].up())
+        ends[-1].say({"id": id_, "state": "started"})
+    for end in ends:
+        id_ = end.take()[0]
+        end.requests.clear()
+        end.say({"id": id_, "state": "done", "result": ""}, head=False, end=True)
+    desk.client(id_="r3")
+    assert ends[0].take() == ["r3"]
+    ends[0].pipe.break_off()
+    desk.settle()
+    assert not ends[1].pipe.open, "the other kept one"
+    desk.advance(210.0)
+    again = desk.dials[0].up()
+    assert again.take() == ["r3"]
+    again.finish()
+    assert not again.pipe.open, "nor is a new one kept for now"
+    desk.advance(STALE)
+    desk.client(id_="r4")
+    end = desk.dials[0].up()
+    end.finish()
+    assert end.pipe.open
+
+
+def test_a_connection_that_breaks_under_an_answer_says_nothing_of_the_others():
+    desk = Desk(workers=1)
+    desk.client()
+    end = desk.dials[0].up()
+    end.finish()
+    desk.client(id_="r2")
+    end.say({"id": "r2", "state": "started"})
+    end.pipe.break_off()
+    assert not desk.side._stale
+
+
 def test_a_client_that_leaves_takes_its_leg_along():
     desk = Desk(workers=1)
     client = desk.client()
