Send jobs that can be in time no more after those that can

At fault: decide.py _pump released first come, first served, whatever a job was still worth, so that every late job made the next one late. A late job is held for as long as it may still be served, and is declined at its time.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -53,7 +53,7 @@
 STRIKE_PAUSE_MOST = 4000.0
 SILENT_NOTES = 1.6  # intervals between progress notes that may pass without a sign of life
 SILENT_RUNS = 3.0  # mean running times that may pass where there are no notes
-FAULT_FADE = 0.8
+FAULT_FADE = 0.8  # how much less each error weighs than the next job's
 FAULTY = 1.5  # faults at which a worker is rested: two errors in a row, or every third job
 STUCK_RUNS = 8.0  # mean running times that a job may wait unstarted before it is called off to go elsewhere
 STUCK_NOTES = 3.6  # as SILENT_NOTES, for one job of a worker that gives others: pauses swallow notes
@@ -94,6 +94,7 @@
     cls: JobClass
     cost: float  # expected work, for the cold budget
     run: float  # expected running time
+    timely: float  # when it must be sent at the latest to be worth anything
     attempts: list[Attempt] = field(default_factory=list)
     queue: OrderedDict[int, Job] | None = None
     answered: bool = False
@@ -250,6 +251,7 @@
     worth: float
     grb: OrderedDict[int, Job] = field(default_factory=OrderedDict)
     slb: OrderedDict[int, Job] = field(default_factory=OrderedDict)
+    late: OrderedDict[int, Job] = field(default_factory=OrderedDict)  # what can be worth nothing any more
 
     def room(self) -> bool:
         """Whether the SLB is not near-full. The SLB of a class with a high floor grows as its rate is cut."""
@@ -285,7 +287,8 @@
         }
         self._by_worth = sorted(self._lanes.values(), key=lambda lane: lane.worth, reverse=True)
         queues = [(x.worth, x.grb) for x in self._by_worth] + [(x.worth, x.slb) for x in self._by_worth]
-        self._shed_order = [queue for _, queue in sorted(queues, key=lambda pair: pair[0])]
+        late = [lane.late for lane in self._by_worth]
+        self._shed_order = late + [queue for _, queue in sorted(queues, key=lambda pair: pair[0])]
         self._shares = [1.0 * t.quota_per_s / settings.balancers for t in settings.tenants]
         self._credit = [(0.0, s) for s in self._shares]  # time and tokens of each tenant's share
         self._free_slots = settings.report_fields.index("x0") if "x0" in settings.report_fields else -1
@@ -365,8 +368,9 @@
         over = self._over_share(event.tenant, bool(event.flags & REPEAT), now)
         lane = self._lanes[event.cls, event.tenant if event.tenant < len(self._shares) else 0, over]
         run = lane.pacer.run_of(event.work)
-        job = Job(event.id, event.key, event.due, event.work, lane, lane.cls, event.work or run, run)
-        slack = min(lane.cls.aim + lane.cls.stretch * (event.work or run), job.due - now) - run
+        slack = min(lane.cls.aim + lane.cls.stretch * (event.work or run), event.due - now) - run
+        timely = INF if lane.cls.late_worth else now + slack
+        job = Job(event.id, event.key, event.due, event.work, lane, lane.cls, event.work or run, run, timely)
         self._least = min(self._least, job.cost)
         if job.key:
             self._keys[job.key] += 1
@@ -422,8 +426,7 @@
             worker.alive(now)
             worker.fulls += 1
             worker.full_until = now + LOOK_AGAIN * 2.0 ** min(worker.fulls - 1, 3)
-            # A draining worker's hand-backs are no sign, nor is one worker's word while others are free: it
-            # held a class at its floor for ten seconds with most of the fleet idle.
+            # No sign: a draining worker's hand-backs, nor one worker's word while others are free.
             if worker.entry.state == State.READY and not any(self._free(w, now) for w in self._mine):
                 attempt.job.lane.pacer.accepted -= 1
         elif outcome == Outcome.CONNECT_FAILED:
@@ -671,6 +674,11 @@
     def _pump(self, now: float) -> None:
         """GRB to SLBs, SLBs to workers: highest worth first, first come first within a buffer."""
         for lane in self._by_worth:
+            for queue in (lane.slb, lane.grb):  # what is late must not make what comes after it late as well
+                for job in [job for job in islice(queue.values(), SLB_SIZE) if now > job.timely]:
+                    del queue[job.id]
+                    job.queue = lane.late
+                    lane.late[job.id] = job
             while lane.grb and lane.room():
                 _, job = lane.grb.popitem(last=False)
                 job.queue = lane.slb
@@ -688,8 +696,10 @@
                 self._actions.append(Probe(worker.entry.worker))
             if now < self._probing:
                 return
-        for lane in self._by_worth:
-            for job in list(islice(lane.slb.values(), SLB_SIZE)):
+        timely = any(lane.slb for lane in self._by_worth)
+        queues = [(x, x.slb) for x in self._by_worth] if timely else [(x, x.late) for x in self._by_worth]
+        for lane, queue in queues:
+            for job in list(islice(queue.values(), SLB_SIZE)):
                 if not free or (lane.pacer.rate is not None and now < lane.pacer.next_at):
                     break
                 picked = self._pick(job, free, now)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -198,7 +198,7 @@
 
 def keyed(key):
     pacer = Pacer(0.3, 100.0)
-    return Job(0, key, 5000.0, 0.0, Lane(UNSAFE, pacer, 1.0), UNSAFE, 100.0, 100.0)
+    return Job(0, key, 5000.0, 0.0, Lane(UNSAFE, pacer, 1.0), UNSAFE, 100.0, 100.0, 5000.0)
 
 
 def test_a_home_that_takes_nothing_or_only_trials_gives_way_to_the_keys_next():
@@ -244,3 +244,40 @@
     for key in range(1, 300):
         sent_to(node, key, 1)
     assert len(node.dispatcher._keys) <= 50 and len(node.dispatcher._rings) <= 51
+
+
+def late_site():
+    return replace(BASE, classes=(replace(SAFE, late_worth=0.0, stretch=0.0), UNSAFE))
+
+
+def test_a_job_that_can_be_in_time_no_more_lets_the_others_go_first():
+    """On overloaded days jobs went in their order, so that each made the next one late as well."""
+    node = Node(late_site(), workers=1)
+    node.arrive()
+    late = [node.arrive()[0] for _ in range(3)]
+    node.now = 400.0  # past their aim of 300 ms
+    fresh, _ = node.arrive()
+    order = []
+    for _ in range(4):
+        worker = node.dispatcher._workers[1]
+        [(id_, attempt)] = worker.open
+        actions = node.play(Noted(id_, attempt, 1, 1, 0.0))
+        worker.full_until = 0.0
+        actions += node.end(id_, attempt, 1, Outcome.OK, final=True)
+        order += [s.id for s in sends(actions)]
+    assert order == [fresh, *late], "and what is late is sent all the same once nothing else waits"
+
+
+def test_what_is_late_is_declined_first_and_a_late_answer_of_worth_changes_no_order():
+    node = Node(late_site(), workers=1)
+    node.arrive(cls=1)
+    late = [node.arrive()[0] for _ in range(3)]
+    node.play(at=400.0)
+    node.play(at=401.0)
+    actions = [a for _ in range(40) for a in node.arrive(cls=1)[1]]
+    assert [a.id for a in actions if isinstance(a, Refuse)][:3] == late[::-1]
+    node = Node(replace(BASE, classes=(SAFE, UNSAFE)), workers=1)
+    node.arrive()
+    node.arrive()
+    node.play(at=400.0)
+    assert not any(lane.late for lane in node.dispatcher._by_worth)
