Let clients use their connections for 1.5 s after SIGTERM

Checked: one dispatcher was being restarted (stopped 16.54, listening 17.38) while the other had got SIGTERM at about 16.04. It asked every client to go elsewhere at once, and closed quiet connections after 0.7 s: there was no elsewhere. Ruled out: discovery (no lost feed in the logs) and the restart itself (0.1 s). At fault: acquirer.py answer, which closed while draining; __main__.py _close_doors. What arrives later than 0.7 s after SIGTERM has its answer within 3.2 s of it.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -27,6 +27,8 @@
 from eiderfield.net.worker import WorkerSide
 
 ACCEPTING = 700.0  # ms after SIGTERM for which new connections are still taken
+STAYING = 1500.0  # ms after SIGTERM for which clients may go on using the connections they have
+LAST = 3200.0  # ms after SIGTERM at which what arrived after ACCEPTING has its answer; a kill may follow
 LOOK = 50.0  # ms between looks at what is left to do before the end
 
 
@@ -111,13 +113,23 @@
     def stop(self) -> None:
         """Begins the end: taken jobs are answered, and clients are asked to go elsewhere."""
         if not any(door.draining for door, _ in self._doors):
+            now, at = self._driver.clock(), self._driver.wheel.at
             for door, _ in self._doors:
                 door.draining = True
-            self._driver.wheel.at(self._driver.clock() + ACCEPTING, self._close_doors)
+            at(now + ACCEPTING, partial(self._close_doors, now + LAST))
+            # Where the others are restarting too, clients sent away at once would have nowhere to go.
+            at(now + STAYING, self._leave)
 
-    def _close_doors(self) -> None:
+    def _close_doors(self, until: float) -> None:
         for door, _ in self._doors:
             door.stop_listening()
+            door.until = until
+        if not self.exchange.unanswered and not any(door.connections for door, _ in self._doors):
+            self._leave()
+
+    def _leave(self) -> None:
+        for door, _ in self._doors:
+            door.leaving = True
         self._end_when_idle()
 
     def _end_when_idle(self) -> None:
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -16,7 +16,7 @@
 from enum import Enum
 from fcntl import ioctl
 from itertools import islice
-from math import isfinite
+from math import inf, isfinite
 from termios import FIONREAD
 from typing import Protocol
 
@@ -141,8 +141,8 @@
         if self.phase != Phase.WAITING or self._transport is None or self._head is None:
             return
         self._gone = None
-        # While the program ends, each answer asks the client to go elsewhere, unless more has come meanwhile.
-        keep = keep and self._head.keeps and (not self.door.draining or self._parser.buffered > 0)
+        # In the end, each answer asks the client to go elsewhere, unless more has come meanwhile.
+        keep = keep and self._head.keeps and (not self.door.leaving or self._parser.buffered > 0)
         self._transport.write(answer_bytes(status, body, keep, **headers))
         self._head = None
         if not keep:
@@ -298,7 +298,9 @@
         self.front = front
         self.timers = timers
         self.clock = clock
-        self.draining = False
+        self.draining = False  # whether the program is about to end
+        self.leaving = False  # whether answers send clients elsewhere
+        self.until = inf  # when what arrives from now on must have its answer
         self._most = most
         self._acquirers: set[Acquirer] = set()
         # Those that may give way, the longest so first: those that owe us a first authorisation or have had
@@ -440,7 +442,10 @@
         path = head.target.partition("?")[0]
         if path == "/ready":
             ready = self._exchange.knows_workers and door.listening and not door.draining
-            acquirer.answer(200 if ready else 503, b"ready\n" if ready else b"not ready\n")
+            if door.draining:
+                acquirer.reject(503, "not ready")
+            else:
+                acquirer.answer(200 if ready else 503, b"ready\n" if ready else b"not ready\n")
             return None
         parts = path.split("/")
         number = self._classes.get(parts[1]) if len(parts) > 1 and not parts[0] else None
@@ -451,7 +456,7 @@
             acquirer.reject(405, "jobs arrive by POST", Allow="POST")
             return None
         try:
-            authorisation = self._read(number, parts[2:], head, body)
+            authorisation = self._read(number, parts[2:], head, body, door.until)
         except Malformed as error:
             acquirer.reject(error.status, str(error))
             return None
@@ -465,7 +470,7 @@
     def _gone(self, id_: int) -> None:
         self._exchange.withdraw(id_)
 
-    def _read(self, number: int, parts: list[str], head: Head, body: bytes) -> Authorisation:
+    def _read(self, number: int, parts: list[str], head: Head, body: bytes, until: float) -> Authorisation:
         cls = self._exchange.site.classes[number]
         for name in ("X-Request-Id", "Idempotency-Key"):
             word = head.get(name.lower())
@@ -483,7 +488,7 @@
         return Authorisation(
             id=head.get("x-request-id"),
             cls=number,
-            due=self._clock() + wait,
+            due=min(self._clock() + wait, until),
             target=head.target,
             host=head.get("host") or "backend.local",
             body=body,
--- a/tests/test_traps.py
+++ b/tests/test_traps.py
@@ -265,7 +265,7 @@
     desk = Desk()
     idle, busy, begun = Client(desk), desk.client(), Client(desk)
     begun.send(b"POST /safe")
-    desk.door.draining = True
+    desk.door.draining = desk.door.leaving = True
     desk.door.close_quiet()
     assert (idle.pipe.open, busy.pipe.open, begun.pipe.open) == (False, True, True)
     desk.dials[0].up().finish()
@@ -273,6 +273,23 @@
     assert status == 200 and head.get("connection") == "close" and busy.pipe.ended
 
 
+def test_while_a_program_ends_its_clients_stay_until_it_leaves_and_later_jobs_are_answered_in_time():
+    """With the other dispatchers restarting too, clients sent away at once found none that took them."""
+    desk = Desk()
+    client = desk.client()
+    desk.door.draining = True
+    end = desk.dials[0].up()
+    end.finish()
+    [(status, head, _)] = client.answers()
+    assert status == 200 and not head.get("connection")
+    desk.door.until = desk.now + 500.0
+    client.post(id_="r2", wait=5000)
+    end.take()
+    assert not client.answers()
+    desk.advance(500.0)
+    assert client.answers()[0][0] == 503
+
+
 def test_a_module_that_forgets_a_job_is_made_good():
     desk = Desk(workers=0)
     desk.exchange._module._expire = lambda now: None
