Call off jobs that never started at a silent worker, so that a trial may come

The trace shows each of them silent behind one job that had never started; the worker was struck, its one open job barred the trial, and that job stayed until its time or 8 usual runs were over, eleven seconds for loss-report. Both dispatchers alike. Ruled out: rates (uncut), the retry budget (5.0 throughout), the list (no changes told). At fault: decide.py _check_silence, which gave up only started jobs at such a worker.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -635,7 +635,7 @@
                 self._silence_at = min(self._silence_at, self._silence(worker))
             for attempt in worker.open.values():
                 at = self._stuck(attempt)
-                if now >= at or (worker.silent and self._set.may_copy):
+                if now >= at or worker.silent:
                     self._give_up(attempt, now)
                 else:
                     self._silence_at = min(self._silence_at, at)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -239,3 +239,16 @@
     worker.faults = 1.0
     worker.alive(1.0, well=True)
     assert not worker.strikes
+
+
+def test_a_job_that_never_started_does_not_keep_its_silent_worker_out():
+    """Half of a fleet was left alone for ten seconds, each behind one job on a connection that had died."""
+    node = Node(NOTED, workers=2)
+    id_, actions = node.arrive(due=12_000.0)
+    worker = sends(actions)[0].worker
+    actions = node.play(at=1700.0)
+    assert [a.id for a in actions if isinstance(a, Cancel)] == [id_]
+    assert [a.worker for a in actions if isinstance(a, CloseIdle)] == [worker]
+    node.end(id_, 0, worker, Outcome.CANCELLED)
+    node.now = 2300.0  # the pause is over: one trial
+    assert worker in [s.worker for _ in range(2) for s in sends(node.arrive()[1])]
