--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -425,7 +425,7 @@
         elif outcome == Outcome.FULL:
             worker.alive(now)
             worker.fulls += 1
-            worker.full_until = now + LOOK_AGAIN * 2.0 ** min(worker.fulls - 1, 3)
+            worker.full_until = now + LOOK_AGAIN * 2.0 ** min(worker.fulls - 1, 1)
             # No sign: a draining worker's hand-backs, nor one worker's word while others are free.
             if worker.entry.state == State.READY and not any(self._free(w, now) for w in self._mine):
                 attempt.job.lane.pacer.accepted -= 1
