--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -11,9 +11,11 @@
 import os
 import signal
 import sys
+import tempfile
 from collections.abc import Callable, Sequence
 from dataclasses import fields
 from functools import partial
+from pathlib import Path
 
 from eiderfield.batch.front import BatchFront
 from eiderfield.batch.jobs import Book
@@ -22,6 +24,7 @@
 from eiderfield.exchange import Exchange
 from eiderfield.idmap import IdMap
 from eiderfield.net.acquirer import AuthorisationFront, Door
+from eiderfield.net.bans import Bans
 from eiderfield.net.console import WAIT, ConsoleFront
 from eiderfield.net.loop import Clock, Driver
 from eiderfield.net.routing import Follower, Following, RoutingTable, Watcher
@@ -38,6 +41,11 @@
     print(f"eiderfield: {text}", file=sys.stderr, flush=True)
 
 
+def state_path(listen: Address, what: str) -> Path:
+    """Where the dispatcher of a clients' address keeps something that a later process is to find."""
+    return Path(tempfile.gettempdir()) / f"eiderfield-{listen[0]}-{listen[1]}.{what}"
+
+
 class Program:
     """The parts of one dispatcher, joined."""
 
@@ -53,7 +61,9 @@
             self.exchange, wheel, clock, self._driver.dial, config.dial_timeout, config.conn_idle,
             config.lines,
         )  # fmt: skip
-        self.table = RoutingTable(self.exchange, self.workers, ids)
+        bans = Bans(state_path(config.listen, "bans.json"), log)
+        bans.read()
+        self.table = RoutingTable(self.exchange, self.workers, ids, bans, clock)
         if config.known is not None:
             try:
                 self.table.load(config.known, cached=True)
--- a/eiderfield/idmap.py
+++ b/eiderfield/idmap.py
@@ -43,6 +43,10 @@
             self._names[number] = name
         return number
 
+    def known(self, name: str) -> int | None:
+        """The number of a worker that has been named before."""
+        return self._workers.get(name)
+
     def name(self, worker: int) -> str:
         """The name of a worker's number, for logs and operators."""
         return self._names.get(worker, str(worker))
--- a/eiderfield/net/console.py
+++ b/eiderfield/net/console.py
@@ -2,8 +2,11 @@
 
     GET  /-/ready               200 once this process takes clients, 503 before and while it ends
     GET  /-/metrics             the figures, as JSON
+    POST /-/workers/ID/disable  leaves worker ID out until it is enabled
+    POST /-/workers/ID/enable   lets worker ID serve again
 
-One call per connection. It holds no state: every figure is read, when it is asked for, where it is counted.
+One call per connection. It holds no state: every figure is read, when it is asked for, where it is counted,
+and bans belong to the routing table.
 """
 
 from __future__ import annotations
@@ -11,6 +14,7 @@
 import json
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import unquote
 
 from eiderfield.exchange import Exchange, Verdict
 from eiderfield.net.acquirer import Acquirer, Door
@@ -64,11 +68,24 @@
             case ["-", "metrics"]:
                 if _allowed(acquirer, head, "GET"):
                     _tell(acquirer, 200, figures(self._exchange, self._table, self._clock()))
+            case ["-", "workers", name, "disable" | "enable" as call]:
+                if _allowed(acquirer, head, "POST"):
+                    self._maintain(acquirer, unquote(name), call == "disable")
             case _:
                 acquirer.reject(404, "no such call")
         return None
 
 
+    def _maintain(self, acquirer: Acquirer, name: str, out: bool) -> None:
+        kept = self._table.ban(name) if out else self._table.unban(name)
+        if kept is None:
+            acquirer.reject(404, "no worker of this id was ever listed")
+        elif not kept:
+            acquirer.reject(500, "in force, but not written down: it is lost when the program ends")
+        else:
+            _tell(acquirer, 200, {"worker": name, "disabled": out})
+
+
 def _allowed(acquirer: Acquirer, head: Head, method: str) -> bool:
     if head.method != method:
         acquirer.reject(405, f"this call is a {method}", Allow=method)
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -5,12 +5,14 @@
 import asyncio
 import json
 from collections.abc import Callable, Mapping
-from math import isfinite
+from dataclasses import replace
+from math import inf, isfinite
 
 from eiderfield.config import ConfigError, address_of
 from eiderfield.exchange import Exchange, Timer, Timers
 from eiderfield.idmap import IdMap
 from eiderfield.interface import Entry, ListKind, State
+from eiderfield.net.bans import Bans
 from eiderfield.net.http import Head, Malformed, Parser, request_bytes
 from eiderfield.net.worker import Address, Dial, Dialling, WorkerSide
 
@@ -25,14 +27,72 @@
 
 
 class RoutingTable:
-    """Takes lists and gives them to the exchange and to the worker side."""
+    """Takes lists and gives them to the exchange and to the worker side, with operators' bans applied."""
 
-    def __init__(self, exchange: Exchange, workers: WorkerSide, ids: IdMap) -> None:
+    def __init__(
+        self, exchange: Exchange, workers: WorkerSide, ids: IdMap, bans: Bans, clock: Callable[[], float]
+    ) -> None:
         self._exchange = exchange
         self._workers = workers
+        self._clock = clock
         self.ids = ids
+        self.bans = bans
         self.index: int | None = None
-        self.listed: set[int] = set()  # the workers in the list, whatever their state
+        self._told: dict[int, Entry] = {}  # what discovery last said of each worker that it ever named
+        # When a worker given back was banned, and when it is taken to have started.
+        self._cold: dict[int, tuple[float, float]] = {}
+
+    @property
+    def listed(self) -> set[int]:
+        """The workers in the list, whatever their state."""
+        return {worker for worker, entry in self._told.items() if entry.state != State.GONE}
+
+    def ban(self, name: str) -> bool | None:
+        """Leaves a worker out, whatever discovery says. None if it was never listed, else whether the ban is
+        written down; it is in force in either case."""
+        if not self._named(name):
+            return None
+        if name not in self.bans.since:  # a ban that is called again began when it was first called
+            self.bans.since[name] = self._clock()
+            worker = self.ids.worker(name)
+            self._cold.pop(worker, None)
+            self._pass_on(worker)
+            self._workers.close_idle(worker)  # its process is about to end
+        return self.bans.keep()
+
+    def unban(self, name: str) -> bool | None:
+        """Gives a worker back as discovery last told it; answers as `ban` does."""
+        if not self._named(name):
+            return None
+        since = self.bans.since.pop(name, None)
+        if since is not None:
+            worker = self.ids.worker(name)
+            told = self._told.get(worker)
+            if told is not None and told.ready_at < since:
+                # It may have been restarted since, and discovery tells of that seconds late: sent as much
+                # as a warm worker, it could fall over.
+                self._cold[worker] = (since, self._clock())
+            self._pass_on(worker)
+        return self.bans.keep()
+
+    def _named(self, name: str) -> bool:
+        return name in self.bans.since or self.ids.known(name) in self._told
+
+    def _pass_on(self, worker: int) -> None:
+        if worker in self._told:
+            entry = self._ruled(self._told[worker])
+            self._exchange.routing(ListKind.DELTA, self.index or 0, (entry,))
+
+    def _ruled(self, told: Entry) -> Entry:
+        """What the exchange is told of a worker: a banned one drains, one given back may be cold."""
+        worker = told.worker
+        if told.state == State.READY and self.ids.name(worker) in self.bans.since:
+            return replace(told, state=State.DRAINING)
+        banned, given_back = self._cold.get(worker, (inf, 0.0))
+        if told.ready_at >= banned:
+            del self._cold[worker]  # discovery has told of the start by now
+            return told
+        return replace(told, ready_at=max(told.ready_at, given_back))
 
     def load(self, told: object, cached: bool = False) -> None:
         """Applies a list in discovery's form; raises `ValueError` and changes nothing if it is malformed."""
@@ -52,12 +112,11 @@
         self.index = index
         if kind != ListKind.DELTA:
             self._workers.keep_only({entry.worker for entry, _ in named})
-            self.listed.clear()
-        self.listed -= {entry.worker for entry, _ in named if entry.state == State.GONE}
-        self.listed |= {entry.worker for entry, _ in named if entry.state != State.GONE}
+            self._told = {worker: replace(entry, state=State.GONE) for worker, entry in self._told.items()}
         for entry, address in named:
+            self._told[entry.worker] = entry
             self._workers.readdress(entry.worker, None if entry.state == State.GONE else address)
-        self._exchange.routing(kind, index, tuple(entry for entry, _ in named))
+        self._exchange.routing(kind, index, tuple(self._ruled(entry) for entry, _ in named))
 
     def _entry(self, told: object) -> tuple[Entry, Address]:
         if not isinstance(told, Mapping):
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -12,6 +12,7 @@
 from eiderfield.exchange import Exchange
 from eiderfield.idmap import IdMap
 from eiderfield.net.acquirer import Acquirer, AuthorisationFront, Door
+from eiderfield.net.bans import Bans
 from eiderfield.net.http import END, Head, Parser
 from eiderfield.net.routing import RoutingTable
 from eiderfield.net.wheel import Wheel
@@ -203,7 +204,7 @@
 class Desk:
     """The parts of a dispatcher, joined in memory."""
 
-    def __init__(self, site=SITE, workers=2, seed=1, most=64, lines=64):
+    def __init__(self, site=SITE, workers=2, seed=1, most=64, lines=64, bans=None):
         self.now = 1_000_000.0
         self.wheel = Wheel(self.now)
         self.woken = False
@@ -213,7 +214,9 @@
         self.ids = IdMap()
         self.exchange = Exchange(site, seed, self.wheel, self._wake, self.logged.append)
         self.side = WorkerSide(self.exchange, self.wheel, self.clock, self.dial, 100.0, 10_000.0, lines)
-        self.table = RoutingTable(self.exchange, self.side, self.ids)
+        bans = Bans(bans, self.logged.append)
+        bans.read()
+        self.table = RoutingTable(self.exchange, self.side, self.ids, bans, self.clock)
         front = AuthorisationFront(self.exchange, self.ids, self.clock)
         self.door = Door(front, self.wheel, self.clock, most)
         self.index = 0
@@ -244,11 +247,12 @@
             self.settle()
         self.now = end
 
-    def tell(self, *news, snapshot=False):
+    def tell(self, *news, snapshot=False, since=0):
         """News of the routing table: pairs of a worker's number and its status."""
         self.index += 1
         endpoints = [
-            {"name": f"w{w}", "address": f"127.0.0.1:{w}", "zone": f"z{w % 2}", "status": s, "since_ms": 0}
+            {"name": f"w{w}", "address": f"127.0.0.1:{w}", "zone": f"z{w % 2}", "status": s,
+             "since_ms": since}
             for w, s in news
         ]
         self.table.load({"index": self.index, "snapshot": snapshot, "endpoints": endpoints})
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -30,6 +30,7 @@
         self.ran = Counter()  # ids that a worker holds or held whole and did not hand back
         self.results = {}  # what workers gave
         self.status = dict.fromkeys((1, 2, 3), "SERVING")
+        self.banned = set()
         self.seen = Counter()  # how many whole requests each worker's end has brought
 
     @rule(path=st.sampled_from(PATHS), wait=st.sampled_from([50, 400, 5000]))
@@ -55,7 +56,7 @@
                 dial.refuse()
             else:
                 end = dial.up(stuck)
-                assert self.status[end.worker] == "SERVING" or not end.pipe.written, "begun after a drain"
+                assert self.serves(end.worker) or not end.pipe.written, "begun after a drain"
             self.look()
 
     @rule()
@@ -63,9 +64,12 @@
         for dial in list(self.desk.dials):
             if dial not in self.desk.dials or not dial.up().pipe.written:
                 continue
-            assert self.status[dial.address[1]] == "SERVING", "begun after a drain"
+            assert self.serves(dial.address[1]), "begun after a drain"
         self.look()
 
+    def serves(self, worker):
+        return self.status[worker] == "SERVING" and worker not in self.banned
+
     @rule(data=st.data(), how=st.sampled_from(HOWS))
     def work(self, data, how):
         ends = [end for end in self.desk.ends if end.pipe.open]
@@ -107,6 +111,14 @@
         self.desk.tell((worker, status))
         self.look()
 
+    @rule(data=st.data(), out=st.booleans())
+    def maintain(self, data, out):
+        worker = data.draw(st.sampled_from([dial.address[1] for dial in self.desk.dials] or [1, 2, 3]))
+        assert (self.desk.table.ban if out else self.desk.table.unban)(f"w{worker}")
+        (self.banned.add if out else self.banned.discard)(worker)
+        self.desk.settle()
+        self.look()
+
     @rule(junk=st.sampled_from(DAMAGED))
     def bad_client(self, junk):
         client = Client(self.desk)
