Let cold workers be further homes after 0.3 of their warm-up

Checked: the calls were answered and the routing table had it ready again; its idle connections and strikes played no part, for no leg was tried. Cause: every job here has a key, and _open_home passed cold workers by for all of their 8.6 s. Ruled out: the budget, which lets a short job through.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -56,6 +56,7 @@
 FAULTY = 1.5  # faults at which a worker is rested: two errors in a row, or every third job
 STUCK_RUNS = 8.0  # mean running times that a job may wait unstarted before it is called off to go elsewhere
 STUCK_NOTES = 3.6  # as SILENT_NOTES, for one job of a worker that gives others: pauses swallow notes
+COLD_REST = 0.3  # share of the warm-up for which a cold worker is no home: jobs there would mostly be late
 COLD_MARGIN = 0.5  # share of the cold allowance that is used, for what other nodes and chance add
 RETRY_SHARE = 0.1  # repeats of what may have run, as a share of sends
 EWMA = 0.05  # weight of a new observation in a mean
@@ -163,12 +164,9 @@
 
     def alive(self, now: float, well: bool = False) -> None:
         """A sign of life ends silence. Only a timely answer ends suspicion, or a slow worker never rests."""
-        self.heard = now
-        self.silent = False
-        self.resets = 0
+        self.heard, self.silent, self.resets = now, False, 0
         if well and not self.faulty:
-            self.strikes = 0
-            self.suspect_until = 0.0
+            self.strikes, self.suspect_until = 0, 0.0
 
     @property
     def faulty(self) -> bool:
@@ -236,8 +234,7 @@
             self.rate *= RAISE
             if self.rate >= self.uncut and not waiting:
                 self.rate = None  # the cap binds no longer
-        self.start = now
-        self.sent = self.accepted = 0
+        self.start, self.sent, self.accepted = now, 0, 0
 
 
 @dataclass(slots=True, eq=False)
@@ -265,9 +262,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         if not settings.classes:
             raise ValueError("settings.classes is empty")
-        self._set = settings
-        self._rng = random.Random(seed)
-        self._now = 0.0
+        self._set, self._rng, self._now = settings, random.Random(seed), 0.0
         self._workers: dict[int, Worker] = {}
         self._listed: list[Worker] = []
         self._mine: list[Worker] = []  # those of them that this node sends to
@@ -303,11 +298,10 @@
         self._changed: dict[int, Worker] = {}  # workers at which own jobs came or went in this call
         self._sharers = float(settings.balancers)  # nodes that send to one worker
         self._probing = self._wake = 0.0  # until when jobs wait for probes; the pending timer, 0: none
-        self._probes = self._doubt = False
+        self._probes = self._doubt = self._watching = False
         self._silence_at = INF  # no worker becomes suspect before
         self._deadlines: list[tuple[float, int]] = []
         self._actions: list[Action] = []
-        self._watching = False
         self._takers: dict[type, Callable[[Any, float], None]] = {
             Ended: self._ended, Noted: self._noted, Arrived: self._arrived, Due: self._due,
             Listed: self._list, ClientGone: self._gone, Flowing: self._flowing, PeerSaid: self._told,
@@ -524,9 +518,8 @@
             self._deal()
 
     def _deal(self) -> None:
-        """Subsetting: with many nodes each keeps to its part of the fleet, with its share of zones and kinds.
-        A node of 200 meets each of 200 workers every half minute: its own jobs tell it nothing, and looking
-        through all takes too much CPU. Keys have homes instead, the same for all nodes."""
+        """Subsetting: with many nodes each keeps to its part of the fleet, for of more it learns too little, and
+        looking through all takes too much CPU. Keys have homes instead, the same for all nodes."""
         nodes, site = self._set.balancers, self._set
         groups = round(nodes / (TELLERS if self._set.may_tell else SHARERS))
         groups = 1 if self._keyed else max(1, min(groups, len(self._listed) // SUBSET))
@@ -575,11 +568,8 @@
     def _answer(self, job: Job, retry_after: float = 0.0) -> None:
         """The one place of this node's final answers: a refusal if rule 2 allows it, else a failure."""
         self._finish(job)
-        if may_refuse(job):
-            advice = min(retry_after, self._set.max_retry_after) if self._set.may_advise else 0.0
-            self._actions.append(Refuse(job.id, advice))
-        else:
-            self._actions.append(Fail(job.id))
+        advice = min(retry_after, self._set.max_retry_after) if self._set.may_advise else 0.0
+        self._actions.append(Refuse(job.id, advice) if may_refuse(job) else Fail(job.id))
 
     def _legal(self, job: Job, worker: Worker, now: float) -> bool:
         return may_resend(job, worker, now, self._set.may_copy, self._set.max_attempts)
@@ -759,15 +749,18 @@
         if ring is None:
             ring = self._rings[key] = sorted(self._listed, key=lambda w: _mix(key, w.entry.worker))
         most = max(HOMES, ceil(HOME_ROOM * self._keys[key] / max(1.0, self._keyed) * len(self._listed)))
-        homes = islice((w for w in ring if self._open_home(w, job, now)), most)
-        return [w for w in homes if self._free(w, now)]
+        homes = [w for w in ring if self._open_home(w, job, now)]
+        # A cold home takes nobody's place: its budget could let nothing through (incident ia7713c).
+        warm = [place for place, w in enumerate(homes, 1) if not self._cold(w, now)]
+        last = warm[most - 1] if len(warm) >= most else len(homes)
+        return [w for w in homes[:last] if self._free(w, now)]
 
     def _open_home(self, worker: Worker, job: Job, now: float) -> bool:
-        """Whether jobs should wait for this home rather than go to the key's next one. A cold worker's budget
-        would hold up all that the key sends; so would one that takes nothing, or only a trial of others."""
+        """Whether jobs should wait for this home rather than go to the key's next one. The budget of a worker
+        just started would hold up all that the key sends, as would one that takes nothing or trials alone."""
         if (worker.fulls > 1 and now < worker.full_until) or not self._trusted(worker, job):
             return False
-        return self._usable(worker, now) and not self._cold(worker, now)
+        return self._usable(worker, now) and not self._cold(worker, now + (1.0 - COLD_REST) * self._set.cold)
 
     def _trusted(self, worker: Worker, job: Job) -> bool:
         """Whether the job may go there: a trial job is one of the class safest to repeat."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import BASE, SAFE, UNSAFE, Node, sends
 
-from eiderfield.decide import GRB_PER_WORKER, Job, Lane, Pacer
+from eiderfield.decide import COLD_REST, GRB_PER_WORKER, INF, Job, Lane, Pacer
 from eiderfield.interface import Arrived, Entry, Listed, ListKind, Noted, Outcome, Refuse, State
 
 
@@ -281,3 +281,30 @@
     node.arrive()
     node.play(at=400.0)
     assert not any(lane.late for lane in node.dispatcher._by_worth)
+
+
+def test_a_cold_worker_is_a_home_again_after_the_first_part_of_its_warm_up_and_within_its_budget():
+    """Passed by until it is warm, a worker that operators gave back stood idle for many seconds."""
+    node = Node(replace(BASE, may_copy=False), workers=1)
+    for _ in range(40):  # what a worker serves is learnt from what it served
+        node.now += 100.0
+        [send] = sends(node.arrive(key=7)[1])
+        node.end(send.id, 0, send.worker, Outcome.OK, final=True, elapsed=90.0)
+    node.play(Listed(ListKind.FULL, 2, (Entry(1, ready_at=node.now), Entry(2))))
+    started, got = node.now, []
+    while not got and node.now < started + BASE.cold:
+        node.now += 50.0
+        for send in sends(node.arrive(key=7)[1]):
+            got += [node.now - started] if send.worker == 1 else []
+            node.end(send.id, 0, send.worker, Outcome.OK, final=True, elapsed=40.0)
+    assert got and COLD_REST * BASE.cold <= got[0] < (COLD_REST + 0.1) * BASE.cold
+    node.dispatcher._workers[1].recent.append((node.now, INF))
+    assert [send.worker for send in sends(node.arrive(key=7)[1])] == [2], "its budget is spent"
+
+
+def test_cold_homes_whose_budgets_let_nothing_through_hold_up_no_key():
+    node = Node(workers=4)
+    node.now = 100_000.0
+    started = node.now - 0.5 * BASE.cold
+    node.play(Listed(ListKind.DELTA, 2, tuple(Entry(w, ready_at=started) for w in range(5, 30))))
+    assert all(sent_to(node, key, 1) for key in range(1, 20))
