--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -518,8 +518,8 @@
             self._deal()
 
     def _deal(self) -> None:
-        """Subsetting: with many nodes each keeps to its part of the fleet, for of more it learns too little, and
-        looking through all takes too much CPU. Keys have homes instead, the same for all nodes."""
+        """Subsetting: with many nodes each keeps to its part of the fleet: of more it would learn too little,
+        and looking through all costs too much CPU. Keys have homes instead, the same for all nodes."""
         nodes, site = self._set.balancers, self._set
         groups = round(nodes / (TELLERS if self._set.may_tell else SHARERS))
         groups = 1 if self._keyed else max(1, min(groups, len(self._listed) // SUBSET))
