--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -26,6 +26,8 @@
 from eiderfield.net.acquirer import AuthorisationFront, Door
 from eiderfield.net.bans import Bans
 from eiderfield.net.console import WAIT, ConsoleFront
+from eiderfield.net.handover import Handover
+from eiderfield.net.link import Ear, reach
 from eiderfield.net.loop import Clock, Driver
 from eiderfield.net.routing import Follower, Following, RoutingTable, Watcher
 from eiderfield.net.worker import WorkerSide
@@ -83,26 +85,63 @@
                 self.exchange, clock, config.name, b.jobs_most, b.finished_most, b.finished_age, b.bytes_most
             )
             self._doors.append((Door(BatchFront(book), wheel, clock, most), b.listen))
+        self._socket = state_path(config.listen, "sock")
+        named = {f"{kind} {host}:{port}": door for kind, door, (host, port) in self._places()}
+        self._handover = Handover(loop, self.exchange, self.table, self.workers, named, wheel, clock, log)
+        self._ear = Ear(loop, self._socket, self._handover.heard)
+        self._handover.lost = self._listen_for_next
+        self._settled = False  # whether the process before has handed over, or there is none
+        self._ending = False
         self.ended = asyncio.Event()
 
-    def start(self) -> None:
-        """Opens the doors, the console's first: it can say that the others are not open yet."""
+    def _places(self) -> list[tuple[str, Door, Address]]:
+        """The doors with what they are for and where they open."""
+        kinds = ("listen", "batch.listen")
+        places = [(kind, door, address) for kind, (door, address) in zip(kinds, self._doors, strict=False)]
         if self._config.console is not None:
-            self._open(self._console, self._config.console, "console")
-        for door, address in self._doors:
-            self._open(door, address, "listen")
-        self._following.follow(self._follower(self._config.discovery))
-
-    def _open(self, door: Door, address: Address, key: str) -> None:
+            places.append(("console", self._console, self._config.console))
+        return places
+
+    async def start(self) -> None:
+        """Takes over from a process that serves already, if there is one, and opens the doors."""
+        beside = self._socket.exists()
+        if (link := reach(self._loop, self._socket)) is not None:
+            done = asyncio.Event()
+            self._handover.ask(link, done.set)
+            await done.wait()
+        for kind, door, address in self._places():
+            if not door.listening:
+                self._open(kind, door, address, beside)
+        self._listen_for_next()
+        # The list may be that of the process before, whose discovery may have counted on its own.
+        self._following.follow(self._follower(self._config.discovery, whole=link is not None))
+        self._settled = True
+
+    def _open(self, kind: str, door: Door, address: Address, beside: bool) -> None:
         try:
-            door.listen(self._loop, address)
+            try:
+                door.listen(self._loop, address)
+            except OSError:
+                # A process that left its socket and does not hand over must not block the start.
+                if not beside or kind == "console":
+                    raise
+                door.listen(self._loop, address, beside=True)
         except OSError as error:
-            raise ConfigError(f"{key}: cannot listen on {address[0]}:{address[1]} ({error})") from None
+            raise ConfigError(f"{kind}: cannot listen on {address[0]}:{address[1]} ({error})") from None
+
+    def _listen_for_next(self) -> None:
+        """Lets the next process find this one."""
+        self._ear.close(unlink=False)
+        try:
+            self._ear.open()
+        except OSError as error:  # it serves without; only an upgrade would be rough
+            log(f"no process can take over from this one: {self._socket}: {error}")
 
     def _ready(self) -> bool:
         """Whether this process takes clients."""
         doors = [door for door, _ in self._doors]
-        return self.table.index is not None and all(door.listening and not door.draining for door in doors)
+        taking = all(door.listening and not door.draining for door in doors)
+        return self._settled and self.table.index is not None and taking
 
     def _follower(self, source: Discovery, whole: bool = False) -> Follower | None:
         """What follows a source; `whole` for one whose lists need not fit the table's."""
@@ -142,6 +181,11 @@
             at(now + ACCEPTING, partial(self._close_doors, now + LAST))
             # Where the others are restarting too, clients sent away at once would have nowhere to go.
             at(now + STAYING, self._leave)
+            if self._handover.given:  # the next process takes who connects and who is connected
+                for door, _ in self._doors:
+                    door.stop_listening()
+                self._handover.leave([name for name in self._handover.doors if name.startswith("listen ")])
+                self._end_when_idle()
 
     def _close_doors(self, until: float) -> None:
         for door, _ in self._doors:
@@ -152,16 +196,23 @@
 
     def _leave(self) -> None:
         for door, _ in self._doors:
-            door.leaving = True
-        self._end_when_idle()
+            door.leaving = door.heir is None
+        if not self._ending:
+            self._end_when_idle()
 
     def _end_when_idle(self) -> None:
+        self._ending = True
+        self._handover.look()
         for door, _ in self._doors:
-            door.close_quiet()
-        if not self.exchange.unanswered and not any(door.connections for door, _ in self._doors):
+            if door.leaving:
+                door.close_quiet()
+        busy = self.exchange.unanswered or any(door.connections for door, _ in self._doors)
+        if not busy and self._handover.flushed:
             self._following.stop()
             self.workers.close()
             self._console.close()
+            self._ear.close(unlink=not self._handover.given)
+            self._handover.close()
             self.ended.set()
             return
         self._driver.wheel.at(self._driver.clock() + LOOK, self._end_when_idle)
@@ -176,7 +227,7 @@
     loop.add_signal_handler(signal.SIGTERM, program.stop)
     loop.add_signal_handler(signal.SIGINT, program.stop)
     loop.add_signal_handler(signal.SIGHUP, program.reload, load_again)
-    program.start()
+    await program.start()
     gc.collect()
     gc.freeze()  # what lives for ever need not be looked through again
     log(f"{config.name} listens on {config.listen[0]}:{config.listen[1]}")
--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -17,9 +17,9 @@
 from typing import Any
 
 from eiderfield.interface import (
-    NEVER_RAN, REPEAT, STARTED, Action, Arrived, Cancel, ClientGone, CloseIdle, Due, Effect, Ended, Entry,
-    Event, Fail, Flowing, JobClass, Listed, ListKind, Log, Noted, Outcome, PeerSaid, Probe, Probed, Refuse,
-    Scope, Send, SetTimer, Settings, Snapshot, State, Tell, Watch, pack_counts, unpack_counts,
+    NEVER_RAN, REPEAT, STARTED, Action, Arrived, Beside, Cancel, ClientGone, CloseIdle, Due, Effect, Ended,
+    Entry, Event, Fail, Flowing, JobClass, Listed, ListKind, Log, Noted, Outcome, PeerSaid, Probe, Probed,
+    Refuse, Scope, Send, SetTimer, Settings, Snapshot, State, Tell, Watch, mix, pack_counts, unpack_counts,
 )
 
 
@@ -45,6 +45,7 @@
 SUBSET = 4  # workers a node keeps to at least: enough to bear the loss of some
 HOMES = 2  # workers to which the jobs of one key go first, so that they find their data there
 KEY_MEMORY = 5000  # keyed jobs over which shares of keys are counted
+KEYS_TOLD = 500  # of them the most frequent are told to the next process: the others have HOMES alone
 HOME_ROOM = 2.0  # homes of a key, as a multiple of the workers that its share of the traffic fills
 BURST = 5.0  # repeats that may be saved up
 LOOK_AGAIN = 200.0  # ms after which what was full is looked at again: a queue place frees in about that
@@ -138,6 +139,7 @@
     entry: Entry
     open: dict[tuple[int, int], Attempt] = field(default_factory=dict)  # own attempts out, oldest first
     unstarted: int = 0
+    beside: int = 0  # attempts that this node's other process has out here, while it is upgraded
     heard: float = 0.0
     full_until: float = 0.0
     strikes: int = 0
@@ -160,19 +162,14 @@
 
     def total(self, now: float) -> int:
         """The jobs that this node and, as far as they told, its peers hold here."""
-        return len(self.open) + (self.others if now < self.others_until else 0)
+        return len(self.open) + self.beside + (self.others if now < self.others_until else 0)
 
     def alive(self, now: float, well: bool = False) -> None:
         """A sign of life ends silence. Only a timely answer ends suspicion, or a slow worker never rests."""
         self.heard, self.silent, self.resets = now, False, 0
-        if well and not self.faulty:
+        if well and self.faults <= FAULTY:
             self.strikes, self.suspect_until = 0, 0.0
 
-    @property
-    def faulty(self) -> bool:
-        """Whether it has lately failed more than one job in three or so."""
-        return self.faults > FAULTY
-
     def learn(self, now: float, ran: float, done: bool) -> None:
         """Takes in that a job which had started is over, after so many usual running times."""
         kept = max(0.0, 1.0 - (now - self.faded) / PACE_HOLDS)
@@ -280,7 +277,7 @@
         }
         self._by_worth = sorted(self._lanes.values(), key=lambda lane: lane.worth, reverse=True)
         queues = [(x.worth, x.grb) for x in self._by_worth] + [(x.worth, x.slb) for x in self._by_worth]
-        late = [lane.late for lane in self._by_worth]
+        late = [x.late for x in self._by_worth]
         self._shed_order = late + [queue for _, queue in sorted(queues, key=lambda pair: pair[0])]
         self._shares = [1.0 * t.quota_per_s / settings.balancers for t in settings.tenants]
         self._credit = [(0.0, s) for s in self._shares]  # time and tokens of each tenant's share
@@ -305,6 +302,7 @@
         self._takers: dict[type, Callable[[Any, float], None]] = {
             Ended: self._ended, Noted: self._noted, Arrived: self._arrived, Due: self._due,
             Listed: self._list, ClientGone: self._gone, Flowing: self._flowing, PeerSaid: self._told,
+            Beside: self._beside,
             Probed: lambda event, at: self._report(self._workers.get(event.worker), event.load, at),
         }  # fmt: skip
 
@@ -315,12 +313,32 @@
         rests = [w.entry.worker for w in known if w.entry.state != State.READY or not self._usable(w, at)]
         return Snapshot(self._held, self._out, [p.rate for p in self._pacers], frozenset(rests))
 
+    def memory(self) -> dict[str, Any]:
+        """What the next process in this node's place goes on from, in plain values."""
+        cold = [(w.entry.worker, list(w.recent)) for w in self._workers.values() if w.recent]
+        spent = [self._retry_tokens, self._served_rate, self._served_at]
+        pacers = [(p.run, p.rate, p.uncut, p.next_at) for p in self._pacers]
+        keys, slots = self._keys.most_common(KEYS_TOLD), list(self._slots.items())
+        return {"pacers": pacers, "spent": spent, "cold": cold, "keys": keys, "slots": slots}
+
+    def resume(self, memory: dict[str, Any]) -> None:
+        """Goes on from the memory of the process before. The list must be known."""
+        for pacer, told in zip(self._pacers, memory["pacers"], strict=True):
+            pacer.run, pacer.rate, pacer.uncut, pacer.next_at = told
+        self._retry_tokens, self._served_rate, self._served_at = memory["spent"]
+        self._slots.update(memory["slots"])
+        self._keys.update(dict(memory["keys"]))
+        self._keyed = self._keys.total()
+        for id_, recent in memory["cold"]:
+            if (worker := self._workers.get(id_)) is not None:
+                worker.recent.extend((at, work) for at, work in recent)
+        self._deal()
+
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         """Takes what has come in at this time and decides."""
         if now < self._now:
             raise ValueError(f"time runs backwards: {now} after {self._now}")
-        self._now = now
-        self._actions = []
+        self._now, self._actions = now, []
         if self._set.subscribe and not self._watching:
             self._watching = True
             self._actions.append(Watch(True))
@@ -432,7 +450,7 @@
             worker.alive(now)
             # A worker that fails its jobs at once holds fewest of them and would draw all others in.
             worker.faults += 1.0
-            if worker.faulty:
+            if worker.faults > FAULTY:
                 worker.strike(now)
         if job is None:
             del self._late_attempts[(event.id, event.attempt)]
@@ -468,8 +486,7 @@
         worker.alive(now)
         attempt.heard = now
         if attempt.started is None and event.what == STARTED:
-            attempt.started = now
-            worker.fulls = 0
+            attempt.started, worker.fulls = now, 0
             worker.unstarted -= 1
             self._saw_slots(worker, len(worker.open) - worker.unstarted)
             # With many nodes one waiting job of each is a long queue (incident i1da742): after a wait, a node
@@ -488,6 +505,11 @@
                 worker.others = sum([n for at, n in worker.told.values() if at > now - TOLD])
                 worker.others_until = now + TOLD
 
+    def _beside(self, event: Beside, now: float) -> None:
+        if (worker := self._workers.get(event.worker)) is not None:
+            worker.beside = event.out
+            worker.recent.append((now, event.work))
+
     def _tell(self) -> None:
         """Tells the peers how many jobs this node has where that changed (cooperation)."""
         data = pack_counts([(id_, len(worker.open)) for id_, worker in self._changed.items()])
@@ -498,9 +520,8 @@
         if event.kind == ListKind.FAILED:
             self._watching = False
             return
-        named = set()
+        named = {entry.worker for entry in event.entries}
         for entry in event.entries:
-            named.add(entry.worker)
             worker = self._workers.get(entry.worker)
             if worker is None:
                 worker = self._workers[entry.worker] = Worker(entry)
@@ -534,9 +555,8 @@
     # Ends and repeats.
 
     def _close(self, attempt: Attempt, now: float) -> None:
-        attempt.open = False
+        worker, attempt.open = attempt.worker, False
         self._out -= 1
-        worker = attempt.worker
         worker.open.pop((attempt.job.id, attempt.number), None)
         worker.unstarted -= attempt.started is None
         self._changed[worker.entry.worker] = worker
@@ -577,9 +597,8 @@
     def _may_help(self, job: Job, now: float) -> bool:
         """Whether a further attempt is allowed and, where the job may run twice, within the retry budget."""
         twice = job.first_run() is not None
-        if job.answered or (twice and self._retry_tokens < 1.0):
-            return False
-        if not any(self._legal(job, w, now) for w in self._listed):
+        legal = any(self._legal(job, w, now) for w in self._listed)
+        if job.answered or not legal or (twice and self._retry_tokens < 1.0):
             return False
         self._retry_tokens -= twice
         return True
@@ -714,7 +733,7 @@
         if now < worker.full_until or trial or not self._usable(worker, now):
             return False
         most = self._slots[worker.entry.kind] + SPARE
-        full = len(worker.open) * self._sharers >= most and self._shown(worker, now) <= 0.0
+        full = (len(worker.open) + worker.beside) * self._sharers >= most and self._shown(worker, now) <= 0.0
         if self._set.tells_start:  # one own job may wait there: more would do so unseen and unmovable
             full = worker.unstarted > 0
         if full or (self._peers and worker.total(now) >= most):
@@ -738,7 +757,7 @@
             tier = 1.0
         pace = worker.pace(now) if self._set.tells_start else 1.0
         tier += pace > SLOW
-        load = (len(worker.open) + 1) * (pace if pace > SLOW else 1.0)
+        load = (len(worker.open) + worker.beside + 1) * (pace if pace > SLOW else 1.0)
         return tier, self._far_costs and worker.entry.zone != self._set.zone, ceil(load)
 
     def _homes(self, job: Job, now: float) -> list[Worker]:
@@ -747,7 +766,7 @@
         key = job.key
         ring = self._rings.get(key)
         if ring is None:
-            ring = self._rings[key] = sorted(self._listed, key=lambda w: _mix(key, w.entry.worker))
+            ring = self._rings[key] = sorted(self._listed, key=lambda w: mix(key, w.entry.worker))
         most = max(HOMES, ceil(HOME_ROOM * self._keys[key] / max(1.0, self._keyed) * len(self._listed)))
         homes = [w for w in ring if self._open_home(w, job, now)]
         # A cold home takes nobody's place: its budget could let nothing through (incident ia7713c).
@@ -768,9 +787,7 @@
 
     def _ready(self, worker: Worker, job: Job, now: float) -> bool:
         """Whether this worker may take this job: its kind, rule 2's group, and rule 4's budget."""
-        if job.cls.kind >= 0 and worker.entry.kind != job.cls.kind:
-            return False
-        if not self._trusted(worker, job):
+        if not self._trusted(worker, job) or (job.cls.kind >= 0 and worker.entry.kind != job.cls.kind):
             return False
         there = any(a.worker is worker and a.open for a in job.attempts)
         return not there and job.cost <= worker.cold_left and self._legal(job, worker, now)
@@ -783,8 +800,7 @@
         if not self._cold(worker, now):
             return INF
         if now >= self._each_at + LOOK_AGAIN:
-            # Counted as half the part at least: where most of it is lost and comes back cold, what the others
-            # served before would allow each too much (a zone's loss among 49 nodes broke rule 4).
+            # Half the part at least: what few warm ones served before would allow many cold ones too much.
             warm = max(sum([not self._cold(w, now) for w in self._mine]), len(self._mine) / 2.0)
             self._each, self._each_at = self._served_rate / max(1.0, warm), now
         share = self._set.cold_share
@@ -813,7 +829,7 @@
         self._silence_at = min(self._silence_at, self._silence(worker), self._stuck(attempt))
         job.lane.pacer.count_send(now)
         self._retry_tokens = min(BURST, self._retry_tokens + RETRY_SHARE)
-        self._actions.append(Send(job.id, worker.entry.worker))
+        self._actions.append(Send(job.id, worker.entry.worker, work=job.cost))
 
     def _set_wake(self, now: float) -> None:
         """One pending timer, at the earliest time at which something may change without an event."""
@@ -827,10 +843,3 @@
             self._wake = at
             self._token += 1
             self._actions.append(SetTimer(at, self._token))
-
-
-def _mix(key: int, worker: int) -> int:
-    """A hash that is the same in each process and spreads keys evenly: that of a tuple of numbers doesn't."""
-    x = (key ^ (worker * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ (x >> 31)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    return ((x ^ (x >> 29)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
--- a/eiderfield/exchange.py
+++ b/eiderfield/exchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
@@ -19,6 +19,7 @@
     STARTED,
     Action,
     Arrived,
+    Beside,
     Cancel,
     ClientGone,
     CloseIdle,
@@ -117,6 +118,19 @@
         """Closes what connections to a worker carry nothing."""
 
 
+class Witness(Protocol):
+    """Who is told of what another process of the same dispatcher must know to keep the rules."""
+
+    def came(self, id_: str) -> None:
+        """A job of this id has been taken."""
+
+    def went(self, id_: str) -> None:
+        """The id is free again."""
+
+    def legs(self, worker: int, out: int, work: float) -> None:
+        """How many legs are out at a worker now, and the work that was just sent there."""
+
+
 @dataclass(slots=True, eq=False)
 class Leg:
     """One attempt. It may have run from the moment its last byte left, unless its end proves otherwise."""
@@ -161,6 +175,10 @@
         self._news: list[Event] = []  # of the routing table: applied before anything else of the turn
         self._events: list[Event] = []
         self._out: dict[tuple[int, int], Leg] = {}  # every leg that is out, also of answered jobs
+        self._out_at: Counter[int] = Counter()  # how many of them at each worker
+        self.witness: Witness | None = None
+        self._ids_beside: set[str] = set()  # those that the dispatcher's other process holds
+        self._beside: set[int] = set()  # workers at which that process has legs out
         self._table: dict[int, State] = {}
         self.answers: Counter[tuple[int, Verdict]] = Counter()  # final answers so far, by class
         self.legs_written = 0  # legs whose last byte has left, so far
@@ -197,13 +215,15 @@
 
     def holds(self, id_: str) -> bool:
         """Whether a job of this id is not over, or has a leg out: another would be a second copy of it."""
-        return id_ in self._ids
+        return id_ in self._ids or id_ in self._ids_beside
 
     def submit(self, authorisation: Authorisation, answer: Callable[[Answer], None]) -> int:
         """Takes a job. `answer` is called once, never before this returns."""
         if self.holds(authorisation.id):
             raise ValueError(f"job {authorisation.id} is there already")
         self._ids.add(authorisation.id)
+        if self.witness is not None:
+            self.witness.came(authorisation.id)
         self._last_id += 1
         job = Job(self._last_id, authorisation, answer)
         self._jobs[job.id] = job
@@ -235,6 +255,47 @@
             return Standing.HELD
         return Standing.RUNNING if job.running or not self.site.tells_start else Standing.OUT
 
+    # The dispatcher's other process, while one hands over to the next.
+
+    @property
+    def ids(self) -> list[str]:
+        """The ids that may not be taken again yet."""
+        return list(self._ids)
+
+    @property
+    def out_at(self) -> dict[int, int]:
+        """How many legs are out at each worker."""
+        return {worker: out for worker, out in self._out_at.items() if out}
+
+    def memory(self) -> dict[str, Any]:
+        """What the module has learnt and spent, in plain values."""
+        return self._module.memory()
+
+    def resume(self, memory: dict[str, Any], now: float) -> None:
+        """Goes on from the memory of another process. What can't be read of it is left."""
+        self.turn(now)  # the list first
+        try:
+            self._module.resume(memory)
+        except (ValueError, TypeError, LookupError, AttributeError) as error:
+            self._log(f"what the process before had learnt is not taken: {error!r}")
+
+    def ids_beside(self, came: Iterable[str], went: Iterable[str]) -> None:
+        """The other process took jobs, or let ids go."""
+        self._ids_beside.update(came)
+        self._ids_beside.difference_update(went)
+
+    def legs_beside(self, worker: int, out: int, work: float) -> None:
+        """The other process has so many legs out at a worker and has just sent it so much work."""
+        (self._beside.add if out else self._beside.discard)(worker)
+        self._post(Beside(worker, out, work))
+
+    def alone(self) -> None:
+        """There is no other process any more."""
+        self.witness = None
+        self._ids_beside.clear()
+        for worker in list(self._beside):
+            self.legs_beside(worker, 0, 0.0)
+
     # Worker side and routing table.
 
     def routing(self, kind: ListKind, version: int, entries: tuple[Entry, ...]) -> None:
@@ -284,7 +345,8 @@
             return
         leg.open = False
         self._let_go(leg.job)
-        self._out.pop((leg.job.id, leg.number), None)
+        if self._out.pop((leg.job.id, leg.number), None) is not None:
+            self._count_out(leg.worker, -1)
         leg.may_have_run = leg.may_have_run and outcome not in NEVER_RAN
         leg.job.running = False
         if leg.timer is not None:
@@ -332,9 +394,15 @@
         due = job.authorisation.due
         end = min(due, now + action.timeout) if action.timeout > 0.0 else due
         self._out[job.id, leg.number] = leg
+        self._count_out(leg.worker, 1, action.work)
         leg.timer = self._timers.at(end, lambda: self._stop(leg, Outcome.TIMEOUT))
         self._legs.start(leg)
 
+    def _count_out(self, worker: int, more: int, work: float = 0.0) -> None:
+        self._out_at[worker] += more
+        if self.witness is not None:
+            self.witness.legs(worker, self._out_at[worker], work)
+
     def _cancel(self, action: Cancel, now: float) -> None:
         if (leg := self._out.get((action.id, action.attempt))) is not None:
             self._stop(leg)
@@ -384,6 +452,8 @@
     def _let_go(self, job: Job) -> None:
         if job.answered and not any(leg.open for leg in job.legs):
             self._ids.discard(job.authorisation.id)
+            if self.witness is not None:
+                self.witness.went(job.authorisation.id)
 
     def _overdue(self, job: Job) -> None:
         if not job.answered:
--- a/eiderfield/idmap.py
+++ b/eiderfield/idmap.py
@@ -51,6 +51,14 @@
         """The name of a worker's number, for logs and operators."""
         return self._names.get(worker, str(worker))
 
+    def zone_name(self, zone: int) -> str:
+        """The name of a zone's number."""
+        return next((name for name, number in self._zones.items() if number == zone), "")
+
+    def kind_name(self, kind: int) -> str:
+        """The name of a machine kind's number."""
+        return next((name for name, number in self._kinds.items() if number == kind), "")
+
     def zone(self, name: str) -> int:
         """A zone's number; names that the settings don't list follow them."""
         return self._zones.setdefault(name, len(self._zones))
--- a/eiderfield/interface.py
+++ b/eiderfield/interface.py
@@ -233,7 +233,17 @@
     data: bytes
 
 
-Event = Arrived | Listed | Flowing | Ended | Noted | ClientGone | Due | Probed | PeerSaid
+@dataclass(slots=True)
+class Beside:
+    """In an upgrade two processes are one node: what the other one has out at a worker, and the work that it
+    has sent there since it last told."""
+
+    worker: int
+    out: int
+    work: float
+
+
+Event = Arrived | Listed | Flowing | Ended | Noted | ClientGone | Due | Probed | PeerSaid | Beside
 
 
 # Actions.
@@ -241,11 +251,12 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; `timeout` 0 lets it run until the client gives up."""
+    """Start an attempt that is expected to cost `work`; `timeout` 0 lets it run until the client gives up."""
 
     id: int
     worker: int
     timeout: float = 0.0
+    work: float = 0.0
 
 
 @dataclass(slots=True)
@@ -333,6 +344,13 @@
     avoided: frozenset[int] = frozenset()  # workers of the list that are sent nothing now
 
 
+def mix(key: int, worker: int) -> int:
+    """A hash that is the same in each process and spreads keys evenly: that of a tuple of numbers doesn't."""
+    x = (key ^ (worker * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
+    x = ((x ^ (x >> 31)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    return ((x ^ (x >> 29)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
+
+
 _COUNT = Struct("<IB")
 
 
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from enum import Enum
 from fcntl import ioctl
 from itertools import islice
@@ -50,6 +51,15 @@
         """Answers now, or later with `Acquirer.answer`; gives what to call should the client go away."""
 
 
+@dataclass(slots=True, frozen=True)
+class Given:
+    """What one process tells the next of a client's connection that it gives to it."""
+
+    proven: bool
+    since: float
+    begun: bytes  # of the next message, read already
+
+
 class Phase(Enum):
     """What a client's connection is doing."""
 
@@ -62,11 +72,12 @@
 class Acquirer(asyncio.BufferedProtocol):
     """A client's connection. It takes one message at a time."""
 
-    def __init__(self, door: Door, sock: socket.socket | None = None) -> None:
+    def __init__(self, door: Door, sock: socket.socket | None = None, given: Given | None = None) -> None:
         self.door = door
         self.phase = Phase.READING
-        self.proven = False  # whether it has brought an authorisation
-        self.since = door.clock()  # when it connected, or when its last message was answered
+        self.proven = given is not None and given.proven  # whether it has brought an authorisation
+        # When it connected, or when its last message was answered.
+        self.since = door.clock() if given is None else min(given.since, door.clock())
         self._sock = sock
         self._transport: asyncio.Transport | None = None
         self._parser = Parser()
@@ -78,7 +89,9 @@
         self._taking = False
         self._choked = False  # whether nothing more is taken for now
         self._thrown = 0
-        self._limit()
+        if given is not None:
+            self._parser.feed(given.begun)
+        self._limit(self.since)
 
     # What asyncio calls.
 
@@ -87,6 +100,8 @@
         self._transport = transport
         if self.phase == Phase.CLOSED:  # it gave way before it was up: left open, its descriptor would leak
             transport.abort()
+        elif self._parser.buffered:  # what another process had read already
+            self._take()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return _SCRATCH
@@ -156,6 +171,8 @@
         self.since = self.door.clock()
         self.door.idles(self)
         self._limit()
+        if self.door.heir is not None:  # the next process serves it from now on, once this call is over
+            self.door.timers.at(self.since, lambda: self.door.pass_on(self))
         if not self._choked:
             self._transport.resume_reading()
         if not self._taking:  # else its loop goes on: thousands of pipelined messages must not nest
@@ -180,6 +197,20 @@
             return True
         return self.quiet or (not self.proven and self.door.clock() >= self.since + YOUNG)
 
+    def let_go(self) -> tuple[socket.socket, Given] | None:
+        """Gives the connection away between two jobs: a copy of its socket, and what of the next message was
+        read already. What lies unread in the socket goes along with it."""
+        if self.phase != Phase.READING or self._taking or self._choked or self._head is not None:
+            return None
+        begun = self._parser.begun
+        if begun is None or self._sock is None or self._transport is None:
+            return None
+        if self._transport.is_closing() or self._transport.get_write_buffer_size():
+            return None
+        copy = self._sock.dup()
+        self.abort()  # closes this process's descriptor alone
+        return copy, Given(self.proven, self.since, begun)
+
     def close(self) -> None:
         """Closes the connection once what was written to it has left."""
         if self.phase == Phase.CLOSED:
@@ -220,12 +251,12 @@
             self._timer.cancel()
             self._timer = None
 
-    def _limit(self) -> None:
-        """Sets how long the connection may stay as it is."""
+    def _limit(self, start: float | None = None) -> None:
+        """Sets how long the connection may stay as it is, from now on if not from an earlier start."""
         self._begun = self._head is not None or not self._parser.between
         self._disarm()
         wait = KEPT if self.proven and not self._begun else self.door.whole
-        self._timer = self.door.timers.at(self.door.clock() + wait, self._late)
+        self._timer = self.door.timers.at((self.door.clock() if start is None else start) + wait, self._late)
 
     def _late(self) -> None:
         if self.phase == Phase.READING and self._begun:
@@ -308,6 +339,9 @@
         self.draining = False  # whether the program is about to end
         self.leaving = False  # whether answers send clients elsewhere
         self.until = inf  # when what arrives from now on must have its answer
+        # In an upgrade, who takes connections on, and how many the other process holds within what we may.
+        self.heir: Callable[[Acquirer], None] | None = None
+        self.beside = 0
         self._most = most
         self._acquirers: set[Acquirer] = set()
         # Those that may give way, the longest so first: those that owe us a first authorisation or have had
@@ -317,6 +351,7 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._listener: socket.socket | None = None
         self._full = False
+        self.resting = False  # whether another process takes who connects
         self._joining: set[asyncio.Task[None]] = set()
 
     @property
@@ -329,27 +364,72 @@
         """How many connections are open or about to be."""
         return len(self._acquirers)
 
-    def listen(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int]) -> int:
-        """Opens the port and gives its number."""
+    @property
+    def listener(self) -> int | None:
+        """The port's descriptor."""
+        return None if self._listener is None else self._listener.fileno()
+
+    def listen(
+        self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], beside: bool = False
+    ) -> None:
+        """Opens the port; `beside` a process that has it open and does not hand it over."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if beside:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listener.bind(address)
+            # Set once the address is ours: a second program that is given it by mistake must still fail.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self.adopt(loop, listener)
+
+    def adopt(self, loop: asyncio.AbstractEventLoop, listener: socket.socket) -> None:
+        """Serves a port that is open already."""
         listener.setblocking(False)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
-        listener.listen(BACKLOG)
         self._loop, self._listener = loop, listener
         loop.add_reader(listener, self._accept)
-        port: int = listener.getsockname()[1]
-        return port
+
+    def rest(self, resting: bool) -> None:
+        """Leaves who connects to another process that has the port, or takes them again."""
+        if self._loop is not None and self._listener is not None:
+            self._loop.remove_reader(self._listener)
+            if not resting:
+                self._loop.add_reader(self._listener, self._accept)
+        self.resting, self._full = resting, False
 
     def stop_listening(self) -> None:
-        """Closes the port after taking whoever is connected already."""
+        """Closes the port after taking whoever is connected already, unless another process does."""
         if self._loop is not None and self._listener is not None:
-            self._accept(BACKLOG)
+            if not self.resting:
+                self._accept(BACKLOG)
             self._loop.remove_reader(self._listener)
             self._listener.close()
             self._listener = None
 
+    def pass_on(self, acquirer: Acquirer) -> None:
+        """Gives a connection to the next process if that is possible now."""
+        if self.heir is not None:
+            self.heir(acquirer)
+
+    def pass_all(self) -> None:
+        """Gives all connections to the next process on which no answer is owed."""
+        for acquirer in list(self._acquirers):
+            self.pass_on(acquirer)
+
+    def admit(self, sock: socket.socket, given: Given) -> None:
+        """Takes up a client's connection that another process gave away."""
+        sock.setblocking(False)
+        acquirer = Acquirer(self, sock, given)
+        self.join(acquirer)
+        if given.proven:
+            self.idles(acquirer)
+        self._serve(acquirer, sock)
+
     def close_quiet(self) -> None:
         """Closes the connections on which nothing can cross."""
         for acquirer in list(self._acquirers):
@@ -386,13 +466,13 @@
 
     def make_room(self) -> bool:
         """Whether one more connection may be taken; one that may give way does so if it must."""
-        if len(self._acquirers) >= self._most:
+        if len(self._acquirers) + self.beside >= self._most:
             for waiting in (self._unproven, self._idle):
                 spare = next((acquirer for acquirer in islice(waiting, LOOKED_AT) if acquirer.spare), None)
                 if spare is not None:
                     spare.abort()
                     break
-        return len(self._acquirers) < self._most
+        return len(self._acquirers) + self.beside < self._most
 
     def _accept(self, most: int = AT_ONCE) -> None:
         assert self._loop is not None and self._listener is not None
@@ -411,9 +491,13 @@
             sock.setblocking(False)
             acquirer = Acquirer(self, sock)
             self.join(acquirer)
-            task = self._loop.create_task(self._join(acquirer, sock))
-            self._joining.add(task)
-            task.add_done_callback(self._joining.discard)
+            self._serve(acquirer, sock)
+
+    def _serve(self, acquirer: Acquirer, sock: socket.socket) -> None:
+        assert self._loop is not None
+        task = self._loop.create_task(self._join(acquirer, sock))
+        self._joining.add(task)
+        task.add_done_callback(self._joining.discard)
 
     def _wait(self) -> None:
         if self._loop is not None and self._listener is not None and not self._full:
--- a/eiderfield/net/bans.py
+++ b/eiderfield/net/bans.py
@@ -35,6 +35,10 @@
         except (OSError, ValueError, RecursionError) as error:
             self._log(f"bans: {self._path} is not taken: {error}")
 
+    def told(self) -> dict[str, dict[str, float]]:
+        """The bans in the file's form."""
+        return {"banned": self.since}
+
     def keep(self) -> bool:
         """Writes the bans down: renamed into place, for a reader must never see half of them."""
         if self._path is None:
@@ -45,7 +49,7 @@
                 draft.unlink()
             fd = os.open(draft, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, 0o600)
             with os.fdopen(fd, "w", encoding="utf-8") as file:
-                json.dump({"banned": self.since}, file)
+                json.dump(self.told(), file)
             draft.replace(self._path)
         except OSError as error:
             self._log(f"bans: {self._path} cannot be written: {error}")
--- /dev/null
+++ b/eiderfield/net/handover.py
@@ -0,0 +1,262 @@
+"""How one process of a dispatcher hands over to the next, and what the two tell each other meanwhile.
+
+The new process asks, the old one answers with its state and its listening sockets, the new one says that it
+has taken them, and the old one stops accepting. From its answer on, the old one tells what changes, and so
+does the new one: ids, legs, bans. At its end the old one gives its clients' connections away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import Any
+
+from eiderfield.exchange import Exchange, Timer, Timers
+from eiderfield.net.acquirer import Acquirer, Door, Given
+from eiderfield.net.link import Link, close_all
+from eiderfield.net.routing import RoutingTable
+from eiderfield.net.worker import WorkerSide
+
+FORM = 1  # of the messages; a process that speaks another is no peer
+PATIENCE = 1500.0  # ms for which a new process waits for the old one before it starts by itself
+
+
+class Handover:
+    """This process's end, whichever of the two it is."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, exchange: Exchange, table: RoutingTable, workers: WorkerSide,
+        doors: Mapping[str, Door], timers: Timers, clock: Callable[[], float], log: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        self.given = False  # whether another process has taken over from this one
+        self.lost: Callable[[], None] = lambda: None  # called when that process is gone
+        self._loop = loop
+        self._exchange = exchange
+        self._table = table
+        self._workers = workers
+        self.doors = doors
+        self._timers = timers
+        self._clock = clock
+        self._log = log
+        self._link: Link | None = None
+        self._done: Callable[[], None] = lambda: None
+        self._timer: Timer | None = None
+        self._shared: list[str] = []  # the doors that both processes have
+        self._ids: dict[str, bool] = {}  # what is to be told: ids that came, or went
+        self._legs: dict[int, list[float]] = {}  # legs out at workers, and the work sent there
+        self._telling = False
+        self._takers: dict[str, Callable[[dict[str, Any], list[int]], None]] = {
+            "ask": self._asked, "state": self._state, "taken": self._taken, "yours": self._yours,
+            "news": self._news, "ban": self._ban, "client": self._client,
+        }  # fmt: skip
+
+    @property
+    def flushed(self) -> bool:
+        """Whether the other process has been sent all that it is owed."""
+        return self._link is None or self._link.flushed
+
+    # The new process.
+
+    def ask(self, link: Link, done: Callable[[], None]) -> None:
+        """Takes over from the process at the other end. `done` is called once that is over, well or not."""
+        self._done = done
+        self._attach(link)
+        self._timer = self._timers.at(self._clock() + PATIENCE, self._impatient)
+        self._send({"is": "ask", "form": FORM})
+
+    def _impatient(self) -> None:
+        self._log("the process before says nothing: this one starts beside it")
+        self._end()
+
+    def _state(self, told: dict[str, Any], fds: list[int]) -> None:
+        for name, fd in zip(told["doors"], fds, strict=True):
+            listener = socket.socket(fileno=fd)
+            if name in self.doors and not self.doors[name].listening:
+                self.doors[name].adopt(self._loop, listener)
+                self.doors[name].rest(True)  # until the old one has let go of it
+                self._shared.append(name)
+            else:
+                listener.close()
+        fds.clear()
+        self._table.take_over(told["table"], told["bans"])
+        self._exchange.ids_beside(told["ids"], ())
+        for name, out in told["legs"]:
+            self._exchange.legs_beside(self._table.ids.worker(name), int(out), 0.0)
+        self._exchange.resume(told["memory"], self._clock())
+        self._tell_from_now_on()
+        self._send({"is": "taken", "doors": self._shared})
+
+    def _yours(self, told: dict[str, Any], fds: list[int]) -> None:
+        self._count(told)
+        self._workers.share(True)
+        for name in self._shared:
+            self.doors[name].rest(False)
+        self._finish()
+
+    def _client(self, told: dict[str, Any], fds: list[int]) -> None:
+        self._count(told)
+        [fd] = fds
+        fds.clear()
+        sock = socket.socket(fileno=fd)
+        begun = str(told["begun"]).encode("latin-1")
+        self.doors[told["door"]].admit(sock, Given(bool(told["proven"]), float(told["since"]), begun))
+
+    def _count(self, told: dict[str, Any]) -> None:
+        """How many connections the old process still has count within what this one may have."""
+        for name, connections in told["open"].items():
+            if name in self.doors:
+                self.doors[name].beside = int(connections)
+
+    def _finish(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        done, self._done = self._done, lambda: None
+        done()
+
+    # The old process.
+
+    def heard(self, link: Link) -> None:
+        """Another process is there."""
+        if self._link is not None:  # one takes over already
+            link.close()
+        else:
+            self._attach(link)
+
+    def _asked(self, told: dict[str, Any], fds: list[int]) -> None:
+        if told["form"] != FORM:
+            raise ValueError("the other process speaks another form")
+        listeners = {name: door.listener for name, door in self.doors.items() if door.listener is not None}
+        ids = self._table.ids
+        state = {
+            "is": "state", "doors": list(listeners), "table": self._table.told(),
+            "bans": self._table.bans.told(), "ids": self._exchange.ids, "memory": self._exchange.memory(),
+            "legs": [[ids.name(worker), out] for worker, out in self._exchange.out_at.items()],
+        }  # fmt: skip
+        self._tell_from_now_on()
+        self._send(state, list(listeners.values()))
+
+    def _taken(self, told: dict[str, Any], fds: list[int]) -> None:
+        self.given = True
+        self._shared = [name for name in told["doors"] if name in self.doors]
+        for name in self._shared:
+            self.doors[name].rest(True)
+        self._workers.share(True)
+        self._log("another process has taken over; this one serves the clients that it has")
+        self._send({"is": "yours", "open": self._open()})
+
+    def leave(self, doors: list[str]) -> None:
+        """The end has come: clients' connections are given away as soon as nothing is owed on them."""
+        for name in doors:
+            if self.given and name in self._shared:
+                self.doors[name].heir = partial(self._give, name)
+
+    def look(self) -> None:
+        """Gives away what can be given now."""
+        for door in self.doors.values():
+            door.pass_all()
+
+    def close(self) -> None:
+        """Ends the link: all has been told."""
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+
+    def _give(self, name: str, acquirer: Acquirer) -> None:
+        if not self.flushed:  # given now, it would wait with nobody reading it; there will be another look
+            return
+        if (gift := acquirer.let_go()) is not None:
+            sock, given = gift
+            told = {
+                "is": "client", "door": name, "proven": given.proven, "since": given.since,
+                "begun": given.begun.decode("latin-1"), "open": self._open(),
+            }  # fmt: skip
+            self._send(told, [sock.fileno()])
+            sock.close()
+
+    def _open(self) -> dict[str, int]:
+        return {name: self.doors[name].connections for name in self._shared}
+
+    # Both.
+
+    def came(self, id_: str) -> None:
+        """A job of this id has been taken."""
+        self._ids[id_] = True
+        self._tell_soon()
+
+    def went(self, id_: str) -> None:
+        """The id is free again."""
+        self._ids[id_] = False
+        self._tell_soon()
+
+    def legs(self, worker: int, out: int, work: float) -> None:
+        """How many legs are out at a worker now, and the work that was just sent there."""
+        sent = self._legs[worker][1] if worker in self._legs else 0.0
+        self._legs[worker] = [out, sent + work]
+        self._tell_soon()
+
+    def _tell_from_now_on(self) -> None:
+        self._exchange.witness = self
+        self._table.ruled = lambda name, since: self._send({"is": "ban", "worker": name, "since": since})
+
+    def _tell_soon(self) -> None:
+        if not self._telling:
+            self._telling = True
+            self._timers.at(self._clock(), self._tell)
+
+    def _tell(self) -> None:
+        self._telling = False
+        ids, self._ids = self._ids, {}
+        legs, self._legs = self._legs, {}
+        told = [[self._table.ids.name(worker), *figures] for worker, figures in legs.items()]
+        self._send({"is": "news", "ids": ids, "legs": told})
+
+    def _news(self, told: dict[str, Any], fds: list[int]) -> None:
+        ids = told["ids"].items()
+        self._exchange.ids_beside([i for i, came in ids if came], [i for i, came in ids if not came])
+        for name, out, work in told["legs"]:
+            self._exchange.legs_beside(self._table.ids.worker(str(name)), int(out), float(work))
+
+    def _ban(self, told: dict[str, Any], fds: list[int]) -> None:
+        since = told["since"]
+        self._table.heed(str(told["worker"]), None if since is None else float(since))
+
+    def _attach(self, link: Link) -> None:
+        self._link = link
+        link.receive = self._receive
+        link.lost = self._end
+
+    def _send(self, told: dict[str, Any], fds: list[int] | None = None) -> None:
+        if self._link is not None:
+            self._link.send(told, fds or [])
+
+    def _receive(self, told: dict[str, Any], fds: list[int]) -> None:
+        try:
+            self._takers[told["is"]](told, fds)
+        except (KeyError, TypeError, ValueError, AttributeError, OSError) as error:
+            # A peer that speaks in riddles is none; both serve on by themselves.
+            self._log(f"what the other process says cannot be read: {error!r}")
+            self._end()
+        finally:
+            close_all(fds)
+
+    def _end(self) -> None:
+        """The other process is gone, or of no use: this one is alone."""
+        if self._link is None:
+            return
+        self.close()
+        was_given, self.given = self.given, False
+        self._exchange.alone()
+        self._table.ruled = lambda name, since: None
+        self._workers.share(False)
+        for door in self.doors.values():
+            door.heir = None
+            door.beside = 0
+            if door.resting:
+                door.rest(False)
+        self._finish()
+        if was_given:
+            self._log("the process that took over is gone; this one takes clients again")
+            self.lost()
--- a/eiderfield/net/http.py
+++ b/eiderfield/net/http.py
@@ -92,6 +92,11 @@
         """Bytes that have come and are not yet taken."""
         return len(self._buffer)
 
+    @property
+    def begun(self) -> bytes | None:
+        """What has come of a message whose head is not whole, None within a message."""
+        return bytes(self._buffer) if self._at == _At.HEAD else None
+
     @property
     def between(self) -> bool:
         """Whether the parser stands between two messages, with nothing of the next one."""
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from math import inf, isfinite
+from typing import Any
 
 from eiderfield.config import ConfigError, address_of
 from eiderfield.exchange import Exchange, Timer, Timers
 from eiderfield.idmap import IdMap
 from eiderfield.interface import Entry, ListKind, State
-from eiderfield.net.bans import Bans
+from eiderfield.net.bans import Bans, parse
 from eiderfield.net.http import Head, Malformed, Parser, request_bytes
 from eiderfield.net.worker import Address, Dial, Dialling, WorkerSide
 
@@ -38,6 +39,8 @@
         self.ids = ids
         self.bans = bans
         self.index: int | None = None
+        # Told of each ban with its time, and of its end with None.
+        self.ruled: Callable[[str, float | None], None] = lambda name, since: None
         self._told: dict[int, Entry] = {}  # what discovery last said of each worker that it ever named
         # When a worker given back was banned, and when it is taken to have started.
         self._cold: dict[int, tuple[float, float]] = {}
@@ -53,13 +56,17 @@
         if not self._named(name):
             return None
         if name not in self.bans.since:  # a ban that is called again began when it was first called
-            self.bans.since[name] = self._clock()
-            worker = self.ids.worker(name)
-            self._cold.pop(worker, None)
-            self._pass_on(worker)
-            self._workers.close_idle(worker)  # its process is about to end
+            self._begin(name, self._clock())
         return self.bans.keep()
 
+    def _begin(self, name: str, since: float) -> None:
+        self.bans.since[name] = since
+        worker = self.ids.worker(name)
+        self._cold.pop(worker, None)
+        self._pass_on(worker)
+        self._workers.close_idle(worker)  # its process is about to end
+        self.ruled(name, since)
+
     def unban(self, name: str) -> bool | None:
         """Gives a worker back as discovery last told it; answers as `ban` does."""
         if not self._named(name):
@@ -73,8 +80,40 @@
                 # as a warm worker, it could fall over.
                 self._cold[worker] = (since, self._clock())
             self._pass_on(worker)
+            self.ruled(name, None)
         return self.bans.keep()
 
+    def told(self) -> dict[str, Any]:
+        """The list in discovery's form, with all that was ever named, and the starts taken for granted."""
+        states = {state: word for word, state in _STATES.items()}
+        endpoints = []
+        for worker, entry in self._told.items():
+            host, port = self._workers.address(worker) or ("", 0)
+            endpoints.append({
+                "name": self.ids.name(worker), "address": f"{host}:{port}", "status": states[entry.state],
+                "zone": self.ids.zone_name(entry.zone), "type": self.ids.kind_name(entry.kind),
+                "group": entry.cell, "weight": entry.weight, "since_ms": entry.ready_at,
+            })  # fmt: skip
+        cold = [[self.ids.name(worker), *times] for worker, times in self._cold.items()]
+        return {"index": self.index or 0, "snapshot": True, "endpoints": endpoints, "cold": cold}
+
+    def take_over(self, told: dict[str, Any], bans: object) -> None:
+        """Goes on from the table and the bans of another process."""
+        self.bans.since = parse(bans)
+        for name, banned, given_back in told["cold"]:
+            self._cold[self.ids.worker(str(name))] = (float(banned), float(given_back))
+        for worker in self._told:
+            self._pass_on(worker)
+        if told["endpoints"]:
+            self.load(told, cached=True)
+
+    def heed(self, name: str, since: float | None) -> None:
+        """The dispatcher's other process banned a worker, or gave it back."""
+        if since is None and name in self.bans.since:
+            self.unban(name)
+        elif since is not None and name not in self.bans.since:
+            self._begin(name, since)
+
     def _named(self, name: str) -> bool:
         return name in self.bans.since or self.ids.known(name) in self._told
 
--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -302,7 +302,7 @@
         self._dial = dial
         self._dial_timeout = dial_timeout
         self._reuse = max(conn_idle - IDLE_MARGIN, IDLE_SHARE * conn_idle)
-        self._most = most
+        self._most = self._whole = most
         self._addresses: dict[int, Address] = {}
         self._stale: dict[int, float] = {}  # until when a worker's connections carry one leg each
         self._lines: set[Line] = set()
@@ -314,6 +314,10 @@
         """How many connections there are."""
         return len(self._lines)
 
+    def address(self, worker: int) -> Address | None:
+        """Where a worker listens."""
+        return self._addresses.get(worker)
+
     def readdress(self, worker: int, address: Address | None) -> None:
         """Where a worker listens, None once it is gone. Idle connections to another place are closed."""
         if self._addresses.get(worker) != address:
@@ -329,6 +333,12 @@
         for worker in self._addresses.keys() - workers:
             self.readdress(worker, None)
 
+    def share(self, shared: bool) -> None:
+        """Lives on half of the connections while another process of this dispatcher has the other half."""
+        self._most = self._whole // 2 if shared else self._whole
+        while len(self._lines) > self._most and self._idle:
+            next(iter(self._idle)).close()
+
     # What the exchange calls.
 
     def start(self, leg: Leg) -> None:
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -86,9 +86,9 @@
 class Client:
     """A client's connection."""
 
-    def __init__(self, desk, door=None):
+    def __init__(self, desk, door=None, given=None):
         self.desk = desk
-        self.acquirer = Acquirer(door or desk.door)
+        self.acquirer = Acquirer(door or desk.door, given=given)
         (door or desk.door).join(self.acquirer)
         self.pipe = Pipe(self.acquirer)
         self.acquirer.connection_made(self.pipe)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,437 @@
+"""One process of a dispatcher hands over to the next: two desks joined in memory, and two real processes."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+from desk import Client, Desk
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_program import ROOT, ask, free_port
+from test_reload import CONFIG, Holding, Source
+
+from eiderfield.interface import State
+from eiderfield.net.handover import PATIENCE, Handover
+from eiderfield.net.link import Ear, reach
+
+LISTEN = "listen 127.0.0.1:1"
+PATIENT = {**CONFIG["settings"]["classes"][0], "give_up": 300_000}  # however long a process takes to start
+
+
+class Loop:
+    """What of an event loop the doors use here: who reads what."""
+
+    def __init__(self):
+        self.reads = set()
+
+    def add_reader(self, sock, call):
+        self.reads.add(sock)
+
+    def remove_reader(self, sock):
+        self.reads.discard(sock)
+
+    def remove_writer(self, sock):
+        pass
+
+
+class Wire:
+    """One end of a link in memory. What is sent waits until it is delivered."""
+
+    def __init__(self):
+        self.peer = None
+        self.sent = []
+        self.open = self.flushed = True
+        self.receive = self.lost = None
+
+    def send(self, told, fds=()):
+        if self.open:
+            self.sent.append((json.loads(json.dumps(told)), [os.dup(fd) for fd in fds]))
+
+    def close(self):
+        self.open = False
+
+    def deliver(self):
+        sent, self.sent = self.sent, []
+        for told, fds in sent:
+            if self.peer.open:
+                self.peer.receive(told, fds)
+        return bool(sent)
+
+
+class Side:
+    """A desk with a port and its end of the handover."""
+
+    def __init__(self, **more):
+        self.desk = Desk(**more)
+        self.loop = Loop()
+        d = self.desk
+        self.handover = Handover(
+            self.loop, d.exchange, d.table, d.side, {LISTEN: d.door}, d.wheel, d.clock, d.logged.append
+        )
+        self.done = False
+
+    def settle(self):
+        self.done = True
+
+    def takes(self):
+        return self.desk.door._listener in self.loop.reads
+
+
+class Pair:
+    """The old process with its port open, and the new one that asks."""
+
+    def __init__(self, **more):
+        self.old, self.new = Side(**more), Side(workers=0)
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.old.desk.door.adopt(self.old.loop, listener)
+        here, there = Wire(), Wire()
+        here.peer, there.peer = there, here
+        self.wires = here, there
+        self.old.handover.heard(here)
+        self.new.handover.ask(there, self.new.settle)
+
+    def go(self):
+        """Lets the two talk until nothing is left to say."""
+        for _ in range(9):
+            for side in (self.old, self.new):
+                side.desk.settle()
+                side.desk.advance(8.0)
+            if sum(wire.deliver() for wire in self.wires) == 0:
+                return self
+        raise AssertionError("they talk without end")
+
+    def part(self, which):
+        """One of the processes dies."""
+        self.wires[which].close()
+        self.wires[1 - which].lost()
+
+    def close(self):
+        for side in (self.old, self.new):
+            if side.desk.door._listener is not None:
+                side.desk.door._listener.close()
+
+
+@pytest.fixture
+def pair():
+    pair = Pair()
+    yield pair
+    pair.close()
+
+
+def state(side, worker):
+    return side.desk.exchange._table.get(side.desk.ids.known(f"w{worker}"))
+
+
+def test_the_new_process_takes_port_list_and_bans_and_the_old_one_accepts_no_more(pair):
+    pair.old.desk.table.ban("w2")
+    pair.old.desk.tell((3, "SERVING"), (3, "DELETED"))
+    assert not pair.new.done and not pair.new.desk.door.listening
+    pair.go()
+    assert pair.new.done and pair.new.takes() and not pair.old.takes() and pair.old.handover.given
+    assert [state(pair.new, w) for w in (1, 2)] == [State.READY, State.DRAINING]
+    assert pair.new.desk.table.ban("w3"), "ids that were ever listed are remembered"
+    assert pair.new.desk.table.ban("w4") is None
+    assert pair.new.desk.table.listed == pair.old.desk.table.listed
+
+
+def test_the_new_process_accepts_only_once_the_old_one_has_stopped(pair):
+    pair.wires[1].deliver()
+    pair.wires[0].deliver()
+    assert pair.new.desk.door.listening and not pair.new.takes() and not pair.new.done
+
+
+def test_an_id_that_one_process_holds_is_not_taken_by_the_other(pair):
+    first = pair.old.desk.client(id_="before")
+    pair.go()
+    pair.old.desk.client(id_="after")
+    pair.new.desk.client(id_="there")
+    pair.go()
+    for side, ids in ((pair.new, ["before", "after"]), (pair.old, ["there"])):
+        for id_ in ids:
+            client = Client(side.desk)
+            client.post(id_=id_)
+            assert client.answers()[0][0] == 409
+    first.pipe.break_off()
+    pair.go()
+    assert not pair.new.desk.exchange.holds("before") and pair.new.desk.exchange.holds("after")
+
+
+def test_an_id_that_goes_and_comes_at_once_is_held(pair):
+    pair.go()
+    client = pair.old.desk.client(id_="r")
+    client.pipe.break_off()
+    pair.old.desk.client(id_="r")
+    pair.go()
+    assert pair.new.desk.exchange.holds("r")
+
+
+@pytest.mark.parametrize("who", ["old", "new"])
+def test_a_ban_at_either_process_holds_at_both_and_so_does_its_end(pair, who):
+    pair.go()
+    side = getattr(pair, who)
+    side.desk.table.ban("w1")
+    pair.go()
+    assert state(pair.old, 1) == state(pair.new, 1) == State.DRAINING
+    side.desk.table.unban("w1")
+    pair.go()
+    assert state(pair.old, 1) == state(pair.new, 1) == State.READY
+    assert not pair.old.desk.table.bans.since and not pair.new.desk.table.bans.since
+
+
+def test_legs_and_work_of_either_process_are_known_to_the_other(pair):
+    pair.old.desk.client(id_="before")
+    pair.go()
+    pair.new.desk.client(id_="after")
+    pair.go()
+    for here, there in ((pair.old, pair.new), (pair.new, pair.old)):
+        out = here.desk.exchange.out_at
+        assert sum(out.values()) == 1
+        workers = there.desk.exchange._module._workers
+        assert {w.entry.worker: w.beside for w in workers.values() if w.beside} == out
+    assert pair.old.desk.exchange.out_at != pair.new.desk.exchange.out_at, "fewest jobs of both goes first"
+    [worker] = pair.new.desk.exchange.out_at
+    [(_, work)] = pair.old.desk.exchange._module._workers[worker].recent
+    assert work > 0.0
+
+
+def test_what_the_module_learnt_goes_along(pair):
+    module = pair.old.desk.exchange._module
+    module._pacers[0].run, module._pacers[0].rate, module._retry_tokens = 77.0, 5.0, 0.25
+    module._keys.update({7: 40, 8: 2})
+    pair.go()
+    heir = pair.new.desk.exchange._module
+    assert (heir._pacers[0].run, heir._pacers[0].rate, heir._retry_tokens) == (77.0, 5.0, 0.25)
+    assert heir._keyed == 42 and heir._keys[7] == 40
+
+
+def test_connections_are_counted_and_shared_out_together(pair):
+    kept = [Client(pair.old.desk) for _ in range(5)]
+    pair.go()
+    assert pair.new.desk.door.beside == len(kept)
+    pair.new.desk.door._most = len(kept)
+    assert not pair.new.desk.door.make_room()
+    assert pair.old.desk.side._most == pair.new.desk.side._most == pair.old.desk.side._whole // 2
+
+
+@pytest.mark.parametrize("when", ["after the question", "after the state", "when all is given"])
+def test_the_old_process_serves_on_if_the_new_one_dies(pair, when):
+    heard = []
+    pair.old.handover.lost = lambda: heard.append(True)
+    if when == "after the state":
+        pair.wires[1].deliver()
+    elif when == "when all is given":
+        pair.go()
+        pair.new.desk.client(id_="r")
+        pair.go()
+    pair.part(1)
+    old = pair.old.desk
+    assert pair.old.takes() and not pair.old.handover.given and not old.exchange.holds("r")
+    assert old.side._most == old.side._whole and old.door.beside == 0
+    assert bool(heard) == (when == "when all is given")
+    old.settle()
+    assert not any(worker.beside for worker in old.exchange._module._workers.values())
+
+
+def test_the_new_process_is_alone_once_the_old_one_has_ended(pair):
+    pair.old.desk.client(id_="r")
+    pair.go()
+    pair.part(0)
+    new = pair.new.desk
+    assert pair.new.takes() and not new.exchange.holds("r") and new.door.beside == 0
+    assert new.side._most == new.side._whole
+
+
+@pytest.mark.parametrize("cut", [0, 20, -1])
+def test_a_client_goes_along_with_what_of_its_next_message_was_read(cut):
+    """Closed on instead, its job would be lost at the door."""
+    old, new = Desk(), Desk()
+    client = Client(old)
+    here, there = socket.socketpair()
+    with here, there:
+        client.acquirer._sock = here
+        client.acquirer.proven = True
+        message = post("r1")
+        client.send(message[:cut])
+        if cut == -1:
+            assert client.acquirer.let_go() is None, "its head is whole: this process takes the job"
+            return
+        copy, given_away = client.acquirer.let_go()
+        with copy:
+            assert not client.pipe.open and not old.door.connections and given_away.begun == message[:cut]
+            there.sendall(b"x")
+            assert copy.recv(1) == b"x", "the connection itself is open"
+        heir = Client(new, given=given_away)
+        heir.send(message[cut:])
+        assert heir.acquirer.proven and heir.answers()[0][0] == 404, "it is one message"
+
+
+def test_what_owes_an_answer_is_not_given_away():
+    desk = Desk()
+    client = desk.client()
+    assert client.acquirer.let_go() is None and client.pipe.open
+
+
+def test_a_process_that_says_nothing_is_not_waited_for(pair):
+    pair.new.desk.advance(PATIENCE + 8.0)
+    assert pair.new.done and not pair.wires[1].open
+
+
+def test_a_second_process_that_asks_meanwhile_is_sent_away(pair):
+    pair.go()
+    third = Wire()
+    pair.old.handover.heard(third)
+    assert not third.open and pair.old.handover.given
+
+
+WORDS = st.sampled_from(["ask", "state", "taken", "yours", "news", "ban", "client", "none"])
+VALUES = st.recursive(st.none() | st.integers(-9, 9) | st.text(max_size=3), lambda v: st.lists(v, max_size=2))
+KEYS = ["form", "doors", "table", "bans", "ids", "legs", "memory", "open", "worker", "since", "door", "begun"]
+
+
+@given(WORDS, st.dictionaries(st.sampled_from(KEYS), VALUES, max_size=12))
+@settings(derandomize=True, max_examples=300, deadline=None, database=None)
+def test_a_peer_that_speaks_in_riddles_ends_nothing(word, told):
+    pair = Pair().go()
+    for side, wire in zip((pair.old, pair.new), pair.wires, strict=True):
+        wire.receive({**told, "is": word}, [])
+        assert side.desk.door.listening
+    pair.old.desk.settle()
+    pair.close()
+
+
+def test_a_socket_that_nobody_listens_at_is_no_process(tmp_path):
+    deep = tmp_path / ("d" * 120)  # longer than a Unix address holds
+    deep.mkdir()
+    assert reach(Loop(), deep / "s") is None
+    ear = Ear(Loop(), deep / "s", lambda link: None)
+    ear.open()
+    link = reach(Loop(), deep / "s")
+    assert link is not None
+    link.close()
+    ear.close(unlink=False)
+    assert (deep / "s").exists() and reach(Loop(), deep / "s") is None
+    again = Ear(Loop(), deep / "s", lambda link: None)
+    again.open()  # in the place of the dead one
+    again.close(unlink=True)
+    assert not list(deep.iterdir())
+
+
+def call(port, path, method="GET"):
+    with socket.create_connection(("127.0.0.1", port), 30) as sock:
+        return ask(sock, f"{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+
+
+class Releases:
+    """Versions of a program that start beside each other, as the platform starts them."""
+
+    def __init__(self, folder, discovery):
+        self.folder, self.discovery, self.port = folder, discovery, free_port()
+        self.running = []
+
+    def start(self):
+        console = free_port()
+        told = {**CONFIG, "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery}",
+                "console": f"127.0.0.1:{console}", "settings": {"classes": [PATIENT]}}  # fmt: skip
+        path = self.folder / f"config-{console}.json"
+        path.write_text(json.dumps(told))
+        environ = {**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(self.folder)}
+        process = subprocess.Popen(
+            [sys.executable, "-m", "eiderfield"], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True
+        )
+        self.running.append(process)
+        while "listens on" not in (line := process.stderr.readline()):
+            assert line, "it ended"
+        threading.Thread(target=process.stderr.read, daemon=True).start()
+        return process, console
+
+    def end(self):
+        for process in self.running:
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def releases(tmp_path):
+    worker = Holding()
+    source = Source(worker.port)
+    releases = Releases(tmp_path, source.port)
+    releases.worker, releases.source = worker, source
+    yield releases
+    releases.end()
+
+
+def post(id_, body=b"abc"):
+    head = f"POST /echo/a HTTP/1.1\r\nX-Request-Id: {id_}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def test_an_upgrade_loses_no_job_and_no_ban(releases):
+    old, console = releases.start()
+    releases.source.asked.get(timeout=30)
+    kept, half, busy = [socket.create_connection(("127.0.0.1", releases.port), 30) for _ in range(3)]
+    releases.worker.let.set()
+    for sock in (kept, half):  # a connection that has brought a job may idle
+        assert ask(sock, post("r0"))[0] == 200
+    releases.worker.let.clear()
+    releases.worker.came.clear()
+    busy.sendall(post("r1"))
+    assert releases.worker.came.wait(30)
+    assert call(console, "/-/workers/w/disable", "POST")[0] == 200
+
+    new, later = releases.start()
+    assert call(later, "/-/ready")[0] == 200
+    assert json.loads(call(later, "/-/metrics")[1])["hosts_down"] == 1
+    assert call(later, "/-/workers/w/enable", "POST")[0] == 200
+    half.sendall(post("r2")[:20])
+    old.send_signal(signal.SIGTERM)
+    releases.worker.let.set()
+    assert ask(busy, b"") == (200, b"cba"), "what the old process has taken it answers"
+    assert old.wait(30) == 0
+    for sock, data in ((half, post("r2")[20:]), (kept, post("r3")), (busy, post("r4"))):
+        assert ask(sock, data) == (200, b"cba"), "its connection went on to the new process"
+    assert json.loads(call(later, "/-/metrics")[1])["success"] == {"echo": 3}
+    with socket.create_connection(("127.0.0.1", releases.port), 30) as sock:
+        assert ask(sock, post("r5")) == (200, b"cba")
+    for sock in (kept, busy, half):
+        sock.close()
+    new.send_signal(signal.SIGTERM)
+    assert new.wait(30) == 0
+    assert not list(releases.folder.glob("*.sock*"))
+
+
+def test_a_process_that_was_killed_blocks_no_start(releases):
+    releases.worker.let.set()
+    old, _ = releases.start()
+    old.kill()
+    old.wait()
+    assert list(releases.folder.glob("*.sock"))
+    _, console = releases.start()
+    releases.source.asked.get(timeout=30)
+    with socket.create_connection(("127.0.0.1", releases.port), 30) as sock:
+        assert ask(sock, post("r1")) == (200, b"cba")
+    assert call(console, "/-/ready")[0] == 200
+
+
+def test_a_process_that_stands_still_blocks_no_start(releases):
+    releases.worker.let.set()
+    old, _ = releases.start()
+    old.send_signal(signal.SIGSTOP)
+    try:
+        _, console = releases.start()
+        assert call(console, "/-/ready")[0] in (200, 503)  # it is there, whatever it knows by now
+    finally:
+        old.send_signal(signal.SIGCONT)
+
+
+def test_a_second_program_at_an_address_by_mistake_fails(releases, tmp_path):
+    releases.start()
+    other = tmp_path / "other"
+    other.mkdir()
+    releases.folder = other  # which shares no folder, so is no upgrade
+    with pytest.raises(AssertionError, match="it ended"):
+        releases.start()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -8,6 +8,7 @@
 from eiderfield.decide import SLOW, Dispatcher
 from eiderfield.interface import (
     Arrived,
+    Beside,
     Cancel,
     ClientGone,
     CloseIdle,
@@ -105,6 +106,7 @@
     Due(12345),
     Probed(77, Outcome.OK, 1.0, (0.1,)),
     PeerSaid(2, b"hello"),
+    Beside(77, 3, 9.0),
     Listed(ListKind.DELTA, 9, (Entry(55, state=State.GONE),)),
 ], ids=repr)  # fmt: skip
 def test_odd_events_change_nothing(event):
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -6,7 +6,6 @@
 import pytest
 from conftest import BASE, Node, sends
 
-from eiderfield.decide import _mix
 from eiderfield.interface import (
     Due,
     Entry,
@@ -19,6 +18,7 @@
     Probed,
     Send,
     Tell,
+    mix,
     pack_counts,
     unpack_counts,
 )
@@ -72,7 +72,7 @@
 
 def test_keys_spread_evenly_over_workers():
     """The hash of a tuple of integers made one of 14 workers first home of six times the keys of another."""
-    first = Counter(min(range(1000, 1014), key=lambda w: _mix(key, w)) for key in range(1, 2801))
+    first = Counter(min(range(1000, 1014), key=lambda w: mix(key, w)) for key in range(1, 2801))
     assert len(first) == 14 and max(first.values()) < 1.5 * min(first.values())
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,7 +6,18 @@
 from conftest import BASE, SAFE, UNSAFE, Node, sends
 
 from eiderfield.decide import COLD_REST, GRB_PER_WORKER, INF, Job, Lane, Pacer
-from eiderfield.interface import Arrived, Entry, Listed, ListKind, Noted, Outcome, Refuse, State
+from eiderfield.interface import (
+    STARTED,
+    Arrived,
+    Beside,
+    Entry,
+    Listed,
+    ListKind,
+    Noted,
+    Outcome,
+    Refuse,
+    State,
+)
 
 
 def window(pacer, start, sent, fulls, waiting=False):
@@ -308,3 +319,21 @@
     started = node.now - 0.5 * BASE.cold
     node.play(Listed(ListKind.DELTA, 2, tuple(Entry(w, ready_at=started) for w in range(5, 30))))
     assert all(sent_to(node, key, 1) for key in range(1, 20))
+
+
+def test_what_stands_beside_counts_in_the_pick_and_in_a_cold_workers_budget():
+    """In an upgrade two processes are one node: both would fill the same worker, and push a cold one over."""
+    node = Node(replace(BASE, may_copy=False), workers=2)
+    node.play(Beside(1, 2, 0.0))
+    for _ in range(2):
+        [send] = sends(node.arrive()[1])
+        assert send.worker == 2
+        node.play(Noted(send.id, 0, 2, STARTED, 0.0))
+    node.play(Beside(1, 0, 0.0))
+    assert [send.worker for send in sends(node.arrive()[1])] == [1]
+    module = node.dispatcher
+    module._served_rate, module._served_at = 1.0, node.now
+    node.play(Listed(ListKind.DELTA, 2, (Entry(1, ready_at=node.now - 100.0),)))
+    left = module._cold_left(module._workers[1], node.now)
+    node.play(Beside(1, 1, left))
+    assert module._cold_left(module._workers[1], node.now) == pytest.approx(0.0)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import threading
+from contextlib import suppress
 
 import pytest
 from desk import Desk
@@ -153,7 +154,7 @@
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
     def serve(self, sock):
-        with sock:
+        with sock, suppress(OSError):  # the program may be gone by now
             self.asked.put(sock.recv(65536))
             endpoint = {"name": "w", "address": f"127.0.0.1:{self.worker}", "status": "SERVING"}
             told = json.dumps({"index": 1, "snapshot": True, "endpoints": [endpoint]}).encode() + b"\n"
