--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -331,7 +331,7 @@
         node.play(Noted(send.id, 0, 2, STARTED, 0.0))
     node.play(Beside(1, 0, 0.0))
     assert [send.worker for send in sends(node.arrive()[1])] == [1]
-    module = node.dispatcher
+    module, node.now = node.dispatcher, 10_000.0
     module._served_rate, module._served_at = 1.0, node.now
     node.play(Listed(ListKind.DELTA, 2, (Entry(1, ready_at=node.now - 100.0),)))
     left = module._cold_left(module._workers[1], node.now)
