--- a/eiderfield/config.py
+++ b/eiderfield/config.py
@@ -21,6 +21,7 @@
 Address = tuple[str, int]
 
 RESERVED = 40  # descriptors for the loop, the listeners, discovery, the log and what is about to close
+LEAST_MB = 24  # memory that the program can live on: 13 MB at rest, 16 with a crowd at its door
 CONSOLE = 24  # descriptors kept for the console's callers, which no client can take
 WORKER_SHARE = 0.4  # of the rest, for connections to workers
 
@@ -232,7 +233,7 @@
             raise ConfigError("console is the same address as listen")
     limits = tree.table("limits")
     sockets = limits.whole("sockets", 1024, 64 if console is None else 64 + CONSOLE)
-    memory_mb = limits.whole("memory_mb", 192, 64)
+    memory_mb = limits.whole("memory_mb", 192, LEAST_MB)
     limits.number("cores", 1.0, 0.01)
     settings = tree.table("settings")
     raw = tree.raw("settings")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -64,6 +64,14 @@
         read({**PLAIN, **change}, {})
 
 
+def test_half_of_the_usual_limits_is_enough():
+    """The platform halves them on busy days: a program that then ended with 2 served nobody."""
+    config = read({**PLAIN, "limits": {"memory_mb": 40, "sockets": 192}, "console": "127.0.0.1:6"}, {})
+    assert config.acquirers >= 192 / 3 and config.lines >= 48
+    with pytest.raises(ConfigError, match=r"limits[.]memory_mb"):
+        read({**PLAIN, "limits": {"memory_mb": 8}}, {})
+
+
 def test_the_console_is_where_the_platform_says_and_off_where_nobody_says():
     assert read(PLAIN, {}).console is None
     told = read({**PLAIN, "console": "127.0.0.1:6"}, {})
