Pass connections on a few at a time, and let a third process wait for its turn

Seen by reading: with 192 descriptors for both, a full door given away at once would hold each connection twice until the loop's next turn (Door.pass_all); and a process started while the one before was still ending was sent away (Handover.heard) and would have served beside the others without ids or bans.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -212,7 +212,7 @@
             self.workers.close()
             self._console.close()
             self._ear.close(unlink=not self._handover.given)
-            self._handover.close()
+            self._handover.close_all()
             self.ended.set()
             return
         self._driver.wheel.at(self._driver.clock() + LOOK, self._end_when_idle)
--- a/eiderfield/config.py
+++ b/eiderfield/config.py
@@ -22,7 +22,7 @@
 
 RESERVED = 40  # descriptors for the loop, the listeners, discovery, the log and what is about to close
 LEAST_MB = 24  # memory that the program can live on: 13 MB at rest, 16 with a crowd at its door
-CONSOLE = 24  # descriptors kept for the console's callers, which no client can take
+CONSOLE = 16  # descriptors kept for the console's callers, which no client can take
 WORKER_SHARE = 0.4  # of the rest, for connections to workers
 
 
--- a/eiderfield/exchange.py
+++ b/eiderfield/exchange.py
@@ -99,7 +99,7 @@
 class Timers(Protocol):
     """Gives calls at times of the caller's clock."""
 
-    def at(self, when: float, call: Callable[[], None]) -> Timer: ...
+    def at(self, when: float, call: Callable[[], object]) -> Timer: ...
 
 
 class Legs(Protocol):
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from fcntl import ioctl
+from functools import partial
 from itertools import islice
 from math import inf, isfinite
 from termios import FIONREAD
@@ -175,7 +176,7 @@
         self.door.idles(self)
         self._limit()
         if self.door.heir is not None:  # the next process serves it from now on, once this call is over
-            self.door.timers.at(self.since, lambda: self.door.pass_on(self))
+            self.door.timers.at(self.since, partial(self.door.pass_on, self))
         if not self._choked:
             self._transport.resume_reading()
         if not self._taking:  # else its loop goes on: thousands of pipelined messages must not nest
@@ -343,7 +344,7 @@
         self.leaving = False  # whether answers send clients elsewhere
         self.until = inf  # when what arrives from now on must have its answer
         # In an upgrade, who takes connections on, and how many the other process holds within what we may.
-        self.heir: Callable[[Acquirer], None] | None = None
+        self.heir: Callable[[Acquirer], bool] | None = None
         self.beside = 0
         self._most = most
         self._acquirers: set[Acquirer] = set()
@@ -414,15 +415,18 @@
             self._listener.close()
             self._listener = None
 
-    def pass_on(self, acquirer: Acquirer) -> None:
+    def pass_on(self, acquirer: Acquirer) -> bool:
         """Gives a connection to the next process if that is possible now."""
-        if self.heir is not None:
-            self.heir(acquirer)
-
-    def pass_all(self) -> None:
-        """Gives all connections to the next process on which no answer is owed."""
-        for acquirer in list(self._acquirers):
-            self.pass_on(acquirer)
+        return self.heir is not None and self.heir(acquirer)
+
+    def pass_some(self) -> None:
+        """Gives connections to the next process, a bounded number at a time: until the loop's next turn each
+        holds a descriptor in both, and the two have no more than one had."""
+        passed = 0
+        for acquirer in [*self._idle, *self._unproven]:
+            passed += self.pass_on(acquirer)
+            if passed >= AT_ONCE:
+                return
 
     def admit(self, sock: socket.socket, given: Given) -> None:
         """Takes up a client's connection that another process gave away."""
--- a/eiderfield/net/handover.py
+++ b/eiderfield/net/handover.py
@@ -21,6 +21,7 @@
 
 FORM = 1  # of the messages; a process that speaks another is no peer
 PATIENCE = 1500.0  # ms for which a new process waits for the old one before it starts by itself
+LONGER = 5000.0  # the same where the old one says that the one before it is still ending
 
 
 class Handover:
@@ -41,6 +42,7 @@
         self._clock = clock
         self._log = log
         self._link: Link | None = None
+        self._next: tuple[Link, list[dict[str, Any]]] | None = None  # who waits, and what it said
         self._done: Callable[[], None] = lambda: None
         self._timer: Timer | None = None
         self._shared: list[str] = []  # the doors that both processes have
@@ -49,7 +51,7 @@
         self._telling = False
         self._takers: dict[str, Callable[[dict[str, Any], list[int]], None]] = {
             "ask": self._asked, "state": self._state, "taken": self._taken, "yours": self._yours,
-            "news": self._news, "ban": self._ban, "client": self._client,
+            "news": self._news, "ban": self._ban, "client": self._client, "wait": self._wait,
         }  # fmt: skip
 
     @property
@@ -66,6 +68,11 @@
         self._timer = self._timers.at(self._clock() + PATIENCE, self._impatient)
         self._send({"is": "ask", "form": FORM})
 
+    def _wait(self, told: dict[str, Any], fds: list[int]) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = self._timers.at(self._clock() + LONGER, self._impatient)
+
     def _impatient(self) -> None:
         self._log("the process before says nothing: this one starts beside it")
         self._end()
@@ -119,11 +126,27 @@
     # The old process.
 
     def heard(self, link: Link) -> None:
-        """Another process is there."""
-        if self._link is not None:  # one takes over already
+        """Another process is there. It waits while the one before this one, or after it, is not done."""
+        if self._link is None:
+            self._attach(link)
+        elif self._next is not None:
             link.close()
         else:
+            said: list[dict[str, Any]] = []
+            link.receive = partial(_keep, said)
+            link.lost = self._forget_next
+            self._next = (link, said)
+            link.send({"is": "wait"})
+
+    def _forget_next(self) -> None:
+        self._next = None
+
+    def _attach_next(self) -> None:
+        if self._next is not None:
+            (link, said), self._next = self._next, None
             self._attach(link)
+            for told in said:
+                self._receive(told, [])
 
     def _asked(self, told: dict[str, Any], fds: list[int]) -> None:
         if told["form"] != FORM:
@@ -156,7 +179,7 @@
     def look(self) -> None:
         """Gives away what can be given now."""
         for door in self.doors.values():
-            door.pass_all()
+            door.pass_some()
 
     def close(self) -> None:
         """Ends the link: all has been told."""
@@ -164,17 +187,25 @@
             self._link.close()
             self._link = None
 
-    def _give(self, name: str, acquirer: Acquirer) -> None:
-        if not self.flushed:  # given now, it would wait with nobody reading it; there will be another look
-            return
-        if (gift := acquirer.let_go()) is not None:
-            sock, given = gift
-            told = {
-                "is": "client", "door": name, "proven": given.proven, "since": given.since,
-                "begun": given.begun.decode("latin-1"), "open": self._open(),
-            }  # fmt: skip
-            self._send(told, [sock.fileno()])
-            sock.close()
+    def close_all(self) -> None:
+        """Ends every link."""
+        self.close()
+        if self._next is not None:
+            self._next[0].close()
+            self._next = None
+
+    def _give(self, name: str, acquirer: Acquirer) -> bool:
+        # Given to a link that stands still, it would wait with nobody reading it; there will be another look.
+        if not self.flushed or (gift := acquirer.let_go()) is None:
+            return False
+        sock, given = gift
+        told = {
+            "is": "client", "door": name, "proven": given.proven, "since": given.since,
+            "begun": given.begun.decode("latin-1"), "open": self._open(),
+        }  # fmt: skip
+        self._send(told, [sock.fileno()])
+        sock.close()
+        return True
 
     def _open(self) -> dict[str, int]:
         return {name: self.doors[name].connections for name in self._shared}
@@ -260,3 +291,9 @@
         if was_given:
             self._log("the process that took over is gone; this one takes clients again")
             self.lost()
+        self._attach_next()
+
+
+def _keep(said: list[dict[str, Any]], told: dict[str, Any], fds: list[int]) -> None:
+    said.append(told)
+    close_all(fds)
--- a/eiderfield/net/wheel.py
+++ b/eiderfield/net/wheel.py
@@ -14,9 +14,9 @@
 
     __slots__ = ("call", "tick")
 
-    def __init__(self, tick: int, call: Callable[[], None]) -> None:
+    def __init__(self, tick: int, call: Callable[[], object]) -> None:
         self.tick = tick
-        self.call: Callable[[], None] | None = call
+        self.call: Callable[[], object] | None = call
 
     def cancel(self) -> None:
         """Calls it off; its place on the wheel is freed when its slot comes round."""
@@ -38,7 +38,7 @@
         self._changed = changed
         self._failed = failed
 
-    def at(self, when: float, call: Callable[[], None]) -> Timer:
+    def at(self, when: float, call: Callable[[], object]) -> Timer:
         """Calls at the first tick at or after `when`, never within the call that asks for it."""
         timer = Timer(max(ceil(when / TICK), self._tick + 1), call)
         self._slots[timer.tick % SLOTS].append(timer)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,7 +16,8 @@
 from test_reload import CONFIG, Holding, Source
 
 from eiderfield.interface import State
-from eiderfield.net.handover import PATIENCE, Handover
+from eiderfield.net.acquirer import AT_ONCE
+from eiderfield.net.handover import LONGER, PATIENCE, Handover
 from eiderfield.net.link import Ear, reach
 
 LISTEN = "listen 127.0.0.1:1"
@@ -281,14 +282,45 @@
     assert pair.new.done and not pair.wires[1].open
 
 
-def test_a_second_process_that_asks_meanwhile_is_sent_away(pair):
+def test_a_process_that_comes_while_another_hands_over_waits_for_its_end(pair):
+    """Sent away, it would start beside the others without ids, bans or clients."""
     pair.go()
-    third = Wire()
-    pair.old.handover.heard(third)
-    assert not third.open and pair.old.handover.given
+    third, other = Side(workers=0), Wire()
+    here, there = Wire(), Wire()
+    here.peer, there.peer = there, here
+    third.handover.ask(there, third.settle)
+    pair.new.handover.heard(here)
+    pair.new.handover.heard(other)
+    assert not other.open, "one may wait"
+    there.deliver()
+    here.deliver()
+    third.desk.advance(PATIENCE + 8.0)
+    assert here.open and not third.done
+    pair.part(0)
+    for wire in (here, there, here):
+        wire.deliver()
+    assert third.done and third.takes() and not pair.new.takes() and pair.new.handover.given
+    third.desk.door._listener.close()
+
+
+def test_a_process_that_waits_waits_no_longer_than_its_patience(pair):
+    pair.wires[1].receive({"is": "wait"}, [])
+    pair.new.desk.advance(LONGER + 8.0)
+    assert pair.new.done
+
+
+def test_connections_pass_on_a_few_at_a_time():
+    """All at once, each would hold a descriptor in both processes, more than the two may have."""
+    desk = Desk(most=64)
+    clients = [Client(desk) for _ in range(AT_ONCE + 5)]
+    desk.door.heir = lambda acquirer: acquirer.abort() is None
+    desk.door.pass_some()
+    assert sum(client.pipe.open for client in clients) == 5
+    desk.door.pass_some()
+    assert not desk.door.connections
 
 
-WORDS = st.sampled_from(["ask", "state", "taken", "yours", "news", "ban", "client", "none"])
+WORDS = st.sampled_from(["ask", "state", "taken", "yours", "news", "ban", "client", "wait", "none"])
 VALUES = st.recursive(st.none() | st.integers(-9, 9) | st.text(max_size=3), lambda v: st.lists(v, max_size=2))
 KEYS = ["form", "doors", "table", "bans", "ids", "legs", "memory", "open", "worker", "since", "door", "begun"]
 
