--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -366,6 +366,9 @@
         self.running = []
 
     def start(self):
+        return self.up(*self.launch())
+
+    def launch(self):
         console = free_port()
         told = {**CONFIG, "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery}",
                 "console": f"127.0.0.1:{console}", "settings": {"classes": [PATIENT]}}  # fmt: skip
@@ -376,6 +379,9 @@
             [sys.executable, "-m", "eiderfield"], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True
         )
         self.running.append(process)
+        return process, console
+
+    def up(self, process, console):
         while "listens on" not in (line := process.stderr.readline()):
             assert line, "it ended"
         threading.Thread(target=process.stderr.read, daemon=True).start()
@@ -436,6 +442,28 @@
     assert not list(releases.folder.glob("*.sock*"))
 
 
+def test_upgrades_that_follow_each_other_closely_lose_no_job(releases):
+    first, _ = releases.start()
+    releases.source.asked.get(timeout=30)
+    busy = socket.create_connection(("127.0.0.1", releases.port), 30)
+    busy.sendall(post("r1"))
+    assert releases.worker.came.wait(30)
+    second, later = releases.start()
+    assert call(later, "/-/ready")[0] == 200
+    first.send_signal(signal.SIGTERM)  # it stays for its job
+    third = releases.launch()
+    releases.worker.let.set()
+    assert ask(busy, b"") == (200, b"cba") and first.wait(30) == 0
+    _, last = releases.up(*third)
+    assert call(last, "/-/ready")[0] == 200
+    second.send_signal(signal.SIGTERM)
+    assert ask(busy, post("r2")) == (200, b"cba")
+    assert second.wait(30) == 0
+    assert ask(busy, post("r3")) == (200, b"cba")
+    assert json.loads(call(last, "/-/metrics")[1])["success"]["echo"] >= 1
+    busy.close()
+
+
 def test_a_process_that_was_killed_blocks_no_start(releases):
     releases.worker.let.set()
     old, _ = releases.start()
