Park quiet client connections in a poll set of their own

Cause: each idle connection kept a transport, a protocol, a parser, buffers and a timer, 2.4 kB in all.

Change: one that has been quiet for 5 s is let go of by its transport and lies in an epoll set that the loop watches through one descriptor, with some 20 bytes in arrays (eiderfield/crowd). Its first byte builds it anew; a bounded number wakes or ends in a turn. It gives way after those that have proved nothing and before those that have just been answered. A reload's idle time counts for parked ones. The console counts them.

Found on the way: a head that passed to the next process half read was given the time of the last answer as its start, so that a client which had idled for 3 s got 408 at once; it now takes the time that it has left.

Ruled out: a bare reader in the loop's own selector, for it costs a key, two handles and a dictionary entry.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -12,6 +12,7 @@
 import signal
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import fields
 from functools import partial
@@ -76,15 +77,15 @@
         self._following = Following()
         most = config.acquirers if config.batch is None else config.acquirers // 2
         front = AuthorisationFront(self.exchange, ids, clock)
-        self._doors = [(Door(front, wheel, clock, most), config.listen)]
-        console = ConsoleFront(self.exchange, self.table, clock, self._ready)
+        self._doors = [(Door(front, wheel, clock, most, idling=config.idling), config.listen)]
+        console = ConsoleFront(self.exchange, self.table, clock, self._ready, self._crowd)
         self._console = Door(console, wheel, clock, CONSOLE, WAIT)
         if config.batch is not None:
             b = config.batch
             book = Book(
                 self.exchange, clock, config.name, b.jobs_most, b.finished_most, b.finished_age, b.bytes_most
             )
-            self._doors.append((Door(BatchFront(book), wheel, clock, most), b.listen))
+            self._doors.append((Door(BatchFront(book), wheel, clock, most, idling=config.idling), b.listen))
         self._socket = state_path(config.listen, "sock")
         named = {f"{kind} {host}:{port}": door for kind, door, (host, port) in self._places()}
         self._handover = Handover(loop, self.exchange, self.table, self.workers, named, wheel, clock, log)
@@ -143,6 +144,13 @@
         taking = all(door.listening and not door.draining for door in doors)
         return self._settled and self.table.index is not None and taking
 
+    def _crowd(self) -> dict[str, int]:
+        """Figures of the clients' connections, at all doors together."""
+        crowd: Counter[str] = Counter()
+        for door, _ in self._doors:
+            crowd.update(door.figures())
+        return dict(crowd)
+
     def _follower(self, source: Discovery, whole: bool = False) -> Follower | None:
         """What follows a source; `whole` for one whose lists need not fit the table's."""
         driver, clock = self._driver, self._driver.clock
@@ -164,10 +172,12 @@
             log(f"the new configuration is not taken: {error}")
             return
         old, self._config = self._config, config
-        fixed = [f.name for f in fields(Config) if f.name not in ("discovery", "known", "seed")]
+        fixed = [f.name for f in fields(Config) if f.name not in ("discovery", "known", "seed", "idling")]
         changed = [name for name in fixed if getattr(config, name) != getattr(old, name)]
         if changed:
             log(f"new values of {', '.join(changed)} take effect at the next start")
+        for door, _ in self._doors:
+            door.idle(config.idling)
         if config.discovery != old.discovery:
             self._following.follow(self._follower(config.discovery, whole=True))
         log(f"the configuration was read again; discovery is at {config.discovery.address}")
--- a/eiderfield/config.py
+++ b/eiderfield/config.py
@@ -11,9 +11,10 @@
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import isfinite
+from math import inf, isfinite
 from pathlib import Path
 
+from eiderfield.crowd.settings import KEEP, PARK_AFTER, Idling
 from eiderfield.idmap import number_of
 from eiderfield.interface import Settings
 from eiderfield.wire import parse_settings
@@ -72,6 +73,7 @@
     dial_timeout: float
     conn_idle: float
     batch: BatchConfig | None
+    idling: Idling
 
 
 class Tree:
@@ -246,6 +248,7 @@
     if discovery.kind == "static" and known is None:
         raise ConfigError("known is missing: with discovery.kind = \"static\" it is the routing table")
     batch = _batch(tree.table("batch"), memory_mb, strict)
+    idling = _idling(tree.table("connections"), strict)
     free = sockets - RESERVED - (CONSOLE if console is not None else 0)
     lines = int(free * WORKER_SHARE)
     seed = tree.raw("seed")
@@ -268,6 +271,7 @@
         dial_timeout=policy.number("dial_timeout", 1000.0, 1.0),
         conn_idle=policy.number("conn_idle", 10_000.0, 1.0),
         batch=batch,
+        idling=idling,
     )
 
 
@@ -319,6 +323,17 @@
     return found
 
 
+def _idling(told: Tree, strict: bool) -> Idling:
+    keep = told.number("keep_ms", KEEP, 1000.0, 86_400_000.0)
+    park = told.flag("park", True)
+    after = told.number("park_after_ms", PARK_AFTER, 10.0, 86_400_000.0)
+    if strict:
+        told.nothing_else()
+        if park and told.has("park_after_ms") and after >= keep:
+            raise ConfigError(f"{told.key('park_after_ms')} is not below keep_ms: nothing would ever park")
+    return Idling(keep, after if park else inf)
+
+
 def _names(settings: Tree, name: str) -> tuple[str, ...]:
     raw = settings.raw(name)
     if raw is None:
--- /dev/null
+++ b/eiderfield/crowd/__init__.py
@@ -0,0 +1,1 @@
+"""Many connections at little cost: who is parked, who gives way, who may come in."""
--- a/eiderfield/exchange.py
+++ b/eiderfield/exchange.py
@@ -97,9 +97,9 @@
 
 
 class Timers(Protocol):
-    """Gives calls at times of the caller's clock."""
+    """Gives calls at times of the caller's clock. Many `patient` ones at one time may come a little later."""
 
-    def at(self, when: float, call: Callable[[], object]) -> Timer: ...
+    def at(self, when: float, call: Callable[[], object], patient: bool = False) -> Timer: ...
 
 
 class Legs(Protocol):
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -9,26 +9,25 @@
 import asyncio
 import re
 import socket
-from array import array
 from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum
-from fcntl import ioctl
 from functools import partial
 from itertools import islice
 from math import inf, isfinite
-from termios import FIONREAD
 from typing import Protocol
 
+from eiderfield.crowd.lot import Lot, Woken, unread
+from eiderfield.crowd.settings import Idling
 from eiderfield.exchange import Answer, Authorisation, Exchange, Timer, Timers, Verdict
 from eiderfield.idmap import IdMap
 from eiderfield.interface import Effect
 from eiderfield.net.http import Head, Malformed, Parser, answer_bytes
 
 WHOLE = 2800.0  # ms that a client's message may take to come in: what never comes is owed an end within 3 s
-KEPT = 300_000.0  # ms that a connection may idle which has brought an authorisation
+CLOSED_AT_ONCE = 1024  # parked connections closed in one look at the program's end, some 10 ms
 LINGER = 1000.0  # ms for which input is thrown away after an error, so that the answer gets through
 LINGER_BYTES = 262_144  # input thrown away meanwhile; more stays unread, for 60 MB of it cost a core
 PIPELINED = 16384  # bytes that may come in while an answer is awaited
@@ -54,11 +53,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Given:
-    """What one process tells the next of a client's connection that it gives to it."""
+    """What is told of a client's connection that is parked, or given to the next process."""
 
     proven: bool
-    since: float
-    begun: bytes  # of the next message, read already
+    since: float  # when it was last answered, or when what has begun began
+    begun: bytes = b""  # of the next message, read already
+
+
+Letting = Callable[[], tuple[int, Given] | None]  # lets go of a connection's descriptor if it can
 
 
 class Phase(Enum):
@@ -79,7 +81,7 @@
         self.proven = given is not None and given.proven  # whether it has brought an authorisation
         # When it connected, or when its last message was answered.
         self.since = door.clock() if given is None else min(given.since, door.clock())
-        self._heard = self.since
+        self._heard = self._from = self.since  # `_from` is when what is limited now began
         self._sock = sock
         self._transport: asyncio.Transport | None = None
         self._parser = Parser()
@@ -187,12 +189,7 @@
         """Whether nothing is owed on this connection and nothing lies unread in its socket."""
         if self.phase != Phase.READING or self._head is not None or not self._parser.between:
             return False
-        if self._sock is None:
-            return True
-        unread = array("i", [0])
-        with suppress(OSError, ValueError):
-            ioctl(self._sock.fileno(), FIONREAD, unread)
-        return not unread[0]
+        return self._sock is None or not unread(self._sock.fileno())
 
     @property
     def spare(self) -> bool:
@@ -201,9 +198,9 @@
             return True
         return self.quiet or (not self.proven and self.door.clock() >= self._heard + YOUNG)
 
-    def let_go(self) -> tuple[socket.socket, Given] | None:
-        """Gives the connection away between two jobs: a copy of its socket, and what of the next message was
-        read already. What lies unread in the socket goes along with it."""
+    def let_go(self) -> tuple[int, Given] | None:
+        """Gives the connection away between two jobs: its descriptor, which stays open, and what of the next
+        message was read already. What lies unread in the socket goes along with it."""
         if self.phase != Phase.READING or self._taking or self._choked or self._head is not None:
             return None
         begun = self._parser.begun
@@ -211,9 +208,9 @@
             return None
         if self._transport.is_closing() or self._transport.get_write_buffer_size():
             return None
-        copy = self._sock.dup()
-        self.abort()  # closes this process's descriptor alone
-        return copy, Given(self.proven, self.since, begun)
+        given = Given(self.proven, self._from if begun else self.since, begun)
+        self.abort()  # the loop forgets the descriptor now and would close it in its next turn
+        return self._sock.detach(), given
 
     def close(self) -> None:
         """Closes the connection once what was written to it has left."""
@@ -259,14 +256,22 @@
         """Sets how long the connection may stay as it is, from now on if not from an earlier start."""
         self._begun = self._head is not None or not self._parser.between
         self._disarm()
-        wait = KEPT if self.proven and not self._begun else self.door.whole
-        self._timer = self.door.timers.at((self.door.clock() if start is None else start) + wait, self._late)
+        self._from = self.door.clock() if start is None else start
+        if self.proven and not self._begun:
+            idling = self.door.idling
+            at = min(self.since + idling.keep, self.door.clock() + idling.park_after)
+            self._timer = self.door.timers.at(at, self._late, patient=True)
+        else:
+            self._timer = self.door.timers.at(self._from + self.door.whole, self._late)
 
     def _late(self) -> None:
         if self.phase == Phase.READING and self._begun:
             self._reject(Malformed("the message took too long", 408))
         elif self.quiet:
-            self.close()
+            if not self.proven or self.door.clock() >= self.since + self.door.idling.keep:
+                self.close()
+            elif not self.door.park(self):
+                self._limit()
         elif self.phase == Phase.READING:  # something came at this very moment
             self._limit()
 
@@ -334,8 +339,9 @@
     """A listener with its connections, within the descriptors they may take."""
 
     def __init__(
-        self, front: Front, timers: Timers, clock: Callable[[], float], most: int, whole: float = WHOLE
-    ) -> None:
+        self, front: Front, timers: Timers, clock: Callable[[], float], most: int, whole: float = WHOLE,
+        idling: Idling | None = None,
+    ) -> None:  # fmt: skip
         self.whole = whole  # ms from connecting, or from a message's first byte, until it must be whole
         self.front = front
         self.timers = timers
@@ -343,8 +349,9 @@
         self.draining = False  # whether the program is about to end
         self.leaving = False  # whether answers send clients elsewhere
         self.until = inf  # when what arrives from now on must have its answer
+        self.idling = idling or Idling()
         # In an upgrade, who takes connections on, and how many the other process holds within what we may.
-        self.heir: Callable[[Acquirer], bool] | None = None
+        self.heir: Callable[[Letting], bool] | None = None
         self.beside = 0
         self._most = most
         self._acquirers: set[Acquirer] = set()
@@ -357,6 +364,8 @@
         self._full = False
         self.resting = False  # whether another process takes who connects
         self._joining: set[asyncio.Task[None]] = set()
+        self._lot: Lot | None = None
+        self._ending: Timer | None = None  # when the time of parked ones ends
 
     @property
     def listening(self) -> bool:
@@ -365,8 +374,13 @@
 
     @property
     def connections(self) -> int:
-        """How many connections are open or about to be."""
-        return len(self._acquirers)
+        """How many connections are open or about to be, parked ones among them."""
+        return len(self._acquirers) + self.parked
+
+    @property
+    def parked(self) -> int:
+        """How many connections are parked."""
+        return 0 if self._lot is None else len(self._lot)
 
     @property
     def listener(self) -> int | None:
@@ -397,6 +411,7 @@
         listener.setblocking(False)
         self._loop, self._listener = loop, listener
         loop.add_reader(listener, self._accept)
+        self.idle(self.idling)
 
     def rest(self, resting: bool) -> None:
         """Leaves who connects to another process that has the port, or takes them again."""
@@ -417,17 +432,28 @@
 
     def pass_on(self, acquirer: Acquirer) -> bool:
         """Gives a connection to the next process if that is possible now."""
-        return self.heir is not None and self.heir(acquirer)
+        return self.heir is not None and self.heir(acquirer.let_go)
 
     def pass_some(self) -> None:
         """Gives connections to the next process, a bounded number at a time: until the loop's next turn each
         holds a descriptor in both, and the two have no more than one had."""
+        if self.heir is None:
+            return
+        lets = [acquirer.let_go for acquirer in (*self._idle, *self._unproven)]
+        if self._lot is not None:
+            lets += [partial(self._let_go, fd) for fd in self._lot.some(AT_ONCE)]
         passed = 0
-        for acquirer in [*self._idle, *self._unproven]:
-            passed += self.pass_on(acquirer)
+        for let_go in lets:
+            passed += self.heir(let_go)
             if passed >= AT_ONCE:
                 return
 
+    def _let_go(self, fd: int) -> tuple[int, Given] | None:
+        """Gives a parked connection away."""
+        if self._lot is None or fd not in self._lot:
+            return None
+        return fd, Given(True, self._lot.take(fd).since)
+
     def admit(self, sock: socket.socket, given: Given) -> None:
         """Takes up a client's connection that another process gave away."""
         sock.setblocking(False)
@@ -438,7 +464,9 @@
         self._serve(acquirer, sock)
 
     def close_quiet(self) -> None:
-        """Closes the connections on which nothing can cross."""
+        """Closes the connections on which nothing can cross, of the parked ones a bounded number."""
+        if self._lot is not None:
+            self._lot.close_quiet(CLOSED_AT_ONCE)
         for acquirer in list(self._acquirers):
             if acquirer.quiet:
                 acquirer.close()
@@ -446,9 +474,76 @@
     def close(self) -> None:
         """Closes everything."""
         self.stop_listening()
+        if self._lot is not None and self._loop is not None:
+            self._loop.remove_reader(self._lot.fileno())
+            self._lot.close()
+            self._lot = None
         for acquirer in list(self._acquirers):
             acquirer.close()
 
+    # Parked connections.
+
+    def figures(self) -> dict[str, int]:
+        """How many connections there are, and how those that were parked went."""
+        lot = self._lot
+        return {
+            "open": self.connections,
+            "parked": self.parked,
+            "woken": lot.woken if lot is not None else 0,
+            "expired": lot.expired if lot is not None else 0,
+            "left": lot.left if lot is not None else 0,
+            "gave_way": lot.gave_way if lot is not None else 0,
+        }
+
+    def idle(self, idling: Idling) -> None:
+        """Sets how long connections may idle, for those that are parked already too."""
+        self.idling = idling
+        if self._loop is not None and self._lot is None and idling.park_after < inf:
+            self._lot = Lot()
+            self._loop.add_reader(self._lot.fileno(), self._wake)
+        self._arm()
+
+    def park(self, acquirer: Acquirer) -> bool:
+        """Parks a quiet connection, if that is possible now."""
+        if self._lot is None or self.heir is not None or self.leaving or self.idling.park_after == inf:
+            return False
+        if (let := acquirer.let_go()) is None:
+            return False
+        fd, given = let
+        try:
+            self._lot.park(fd, given.since)
+        except OSError:  # the kernel has no room for it in a poll set
+            self.admit(socket.socket(fileno=fd), given)
+        if self._ending is None:
+            self._arm()
+        return True
+
+    def _wake(self) -> None:
+        """Something came on parked connections: each goes on as if it had never been parked."""
+        if self._lot is not None:
+            for woken in self._lot.look():
+                self._unpark(woken)
+            self._accept_again()  # some may have closed
+
+    def _unpark(self, woken: Woken) -> None:
+        self.admit(socket.socket(fileno=woken.fd), Given(True, woken.since))
+
+    def _arm(self) -> None:
+        if self._ending is not None:
+            self._ending.cancel()
+            self._ending = None
+        if self._lot is not None and (at := self._lot.ends_at(self.idling.keep)) < inf:
+            self._ending = self.timers.at(at, self._end, patient=True)
+
+    def _end(self) -> None:
+        """The time of some parked ones has ended. Those beyond one turn's bound end at the next ticks."""
+        if self._lot is not None:
+            self._lot.end(self.clock(), self.idling.keep)
+            self._arm()
+            self._accept_again()
+
+    # What connections tell.
+
     def join(self, acquirer: Acquirer) -> None:
         """A connection is taken."""
         self._acquirers.add(acquirer)
@@ -478,13 +573,19 @@
 
     def make_room(self) -> bool:
         """Whether one more connection may be taken; one that may give way does so if it must."""
-        if len(self._acquirers) + self.beside >= self._most:
-            for waiting in (self._unproven, self._idle):
-                spare = next((acquirer for acquirer in islice(waiting, LOOKED_AT) if acquirer.spare), None)
-                if spare is not None:
-                    spare.abort()
-                    break
-        return len(self._acquirers) + self.beside < self._most
+        if self.connections + self.beside < self._most:
+            return True
+        # Who is parked has been quiet for longer than who merely idles.
+        parked = self._lot.give_way if self._lot is not None else lambda: False
+        gave_way = self._spare(self._unproven) or parked() or self._spare(self._idle)
+        return gave_way and self.connections + self.beside < self._most
+
+    def _spare(self, waiting: OrderedDict[Acquirer, None]) -> bool:
+        """Whether one of these could give way; it has then."""
+        spare = next((acquirer for acquirer in islice(waiting, LOOKED_AT) if acquirer.spare), None)
+        if spare is not None:
+            spare.abort()
+        return spare is not None
 
     def _accept(self, most: int = AT_ONCE) -> None:
         assert self._loop is not None and self._listener is not None
--- a/eiderfield/net/console.py
+++ b/eiderfield/net/console.py
@@ -31,7 +31,7 @@
 }
 
 
-def figures(exchange: Exchange, table: RoutingTable, now: float) -> dict[str, Any]:
+def figures(exchange: Exchange, table: RoutingTable, crowd: dict[str, int], now: float) -> dict[str, Any]:
     """What `/-/metrics` says."""
     names = [cls.name for cls in exchange.site.classes]
     told: dict[str, Any] = {
@@ -43,6 +43,7 @@
     listed = table.listed
     told["hosts_listed"] = len(listed)
     told["hosts_down"] = len(exchange.snapshot(now).avoided & listed)
+    told["connections"] = crowd
     return told
 
 
@@ -50,12 +51,14 @@
     """What the console's door does with calls."""
 
     def __init__(
-        self, exchange: Exchange, table: RoutingTable, clock: Callable[[], float], ready: Callable[[], bool]
-    ) -> None:
+        self, exchange: Exchange, table: RoutingTable, clock: Callable[[], float], ready: Callable[[], bool],
+        crowd: Callable[[], dict[str, int]],
+    ) -> None:  # fmt: skip
         self._exchange = exchange
         self._table = table
         self._clock = clock
         self._ready = ready
+        self._crowd = crowd
 
     def message(self, door: Door, acquirer: Acquirer, head: Head, body: bytes) -> Callable[[], None] | None:
         """Answers a call at once and closes its connection."""
@@ -67,7 +70,7 @@
                     acquirer.reject(200 if ready else 503, "ready" if ready else "not ready")
             case ["-", "metrics"]:
                 if _allowed(acquirer, head, "GET"):
-                    _tell(acquirer, 200, figures(self._exchange, self._table, self._clock()))
+                    _tell(acquirer, 200, figures(self._exchange, self._table, self._crowd(), self._clock()))
             case ["-", "workers", name, "disable" | "enable" as call]:
                 if _allowed(acquirer, head, "POST"):
                     self._maintain(acquirer, unquote(name), call == "disable")
--- a/eiderfield/net/handover.py
+++ b/eiderfield/net/handover.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
 
 from eiderfield.exchange import Exchange, Timer, Timers
-from eiderfield.net.acquirer import Acquirer, Door, Given
+from eiderfield.net.acquirer import Door, Given, Letting
 from eiderfield.net.link import Link, close_all
 from eiderfield.net.routing import RoutingTable
 from eiderfield.net.worker import WorkerSide
@@ -194,17 +195,17 @@
             self._next[0].close()
             self._next = None
 
-    def _give(self, name: str, acquirer: Acquirer) -> bool:
+    def _give(self, name: str, let_go: Letting) -> bool:
         # Given to a link that stands still, it would wait with nobody reading it; there will be another look.
-        if not self.flushed or (gift := acquirer.let_go()) is None:
+        if not self.flushed or (gift := let_go()) is None:
             return False
-        sock, given = gift
+        fd, given = gift
         told = {
             "is": "client", "door": name, "proven": given.proven, "since": given.since,
             "begun": given.begun.decode("latin-1"), "open": self._open(),
         }  # fmt: skip
-        self._send(told, [sock.fileno()])
-        sock.close()
+        self._send(told, [fd])
+        os.close(fd)
         return True
 
     def _open(self) -> dict[str, int]:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,6 +1,7 @@
 """The configuration: every fault is named by its key, and what the tool writes is what the program reads."""
 
 import json
+from math import inf
 from pathlib import Path
 
 import pytest
@@ -54,6 +55,10 @@
         ("batch.listen", {"batch": {"enabled": True}}),
         ("batch.finished_most", {"batch": {"enabled": True, "listen": "127.0.0.1:1", "finished_most": 0}}),
         ("known", {"known": 3}),
+        ("connections", {"connections": 3}),
+        ("connections.keep_ms", {"connections": {"keep_ms": 1}}),
+        ("connections.park", {"connections": {"park": "yes"}}),
+        ("connections.park_after_ms", {"connections": {"park_after_ms": True}}),
         ("console", {"console": "nowhere"}),
         ("console", {"console": PLAIN["listen"]}),
         ("limits.sockets", {"console": "127.0.0.1:6", "limits": {"sockets": 64}}),
@@ -95,6 +100,22 @@
         read_text(text.replace("finished_most", "finnished_most"))
 
 
+@pytest.mark.parametrize(
+    ("key", "lines"),
+    [
+        ("connections.parc", "parc = true"),
+        ("connections.park_after_ms", "keep_ms = 5000\npark_after_ms = 5000"),
+    ],
+)
+def test_an_operators_file_says_how_connections_idle(key, lines):
+    text = (ROOT / "deploy" / "claims-batch.toml").read_text()
+    idling = read_text(text + "\n[connections]\nkeep_ms = 3600000\npark_after_ms = 2000\n").idling
+    assert (idling.keep, idling.park_after) == (3_600_000.0, 2000.0)
+    assert read_text(text + "\n[connections]\npark = false\n").idling.park_after == inf
+    with pytest.raises(ConfigError, match=f"^{key} "):
+        read_text(f"{text}\n[connections]\n{lines}\n")
+
+
 def test_the_tool_writes_what_the_program_reads(tmp_path, capsys):
     line = [
         "--name",
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -261,8 +261,8 @@
         if cut == -1:
             assert client.acquirer.let_go() is None, "its head is whole: this process takes the job"
             return
-        copy, given_away = client.acquirer.let_go()
-        with copy:
+        fd, given_away = client.acquirer.let_go()
+        with socket.socket(fileno=fd) as copy:
             assert not client.pipe.open and not old.door.connections and given_away.begun == message[:cut]
             there.sendall(b"x")
             assert copy.recv(1) == b"x", "the connection itself is open"
@@ -313,7 +313,7 @@
     """All at once, each would hold a descriptor in both processes, more than the two may have."""
     desk = Desk(most=64)
     clients = [Client(desk) for _ in range(AT_ONCE + 5)]
-    desk.door.heir = lambda acquirer: acquirer.abort() is None
+    desk.door.heir = lambda let_go: let_go.__self__.abort() is None
     desk.door.pass_some()
     assert sum(client.pipe.open for client in clients) == 5
     desk.door.pass_some()
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -6,10 +6,10 @@
 import pytest
 from desk import SITE, Client, Desk, Pipe
 
+from eiderfield.crowd.settings import KEEP
 from eiderfield.net.acquirer import (
     AGAIN,
     AT_ONCE,
-    KEPT,
     LINGER,
     LINGER_BYTES,
     WHOLE,
@@ -35,7 +35,7 @@
     silent, usual = Client(desk), served(desk, Client(desk))
     desk.advance(OWED)
     assert not silent.pipe.open and not silent.answers() and usual.pipe.open
-    desk.advance(KEPT)
+    desk.advance(KEEP)
     assert not usual.pipe.open
 
 
