Measure what idle connections cost with a tool of the project's own: eiderfield lab idle

Need: what a crowd costs was measured with scratch clients, and not against a calm dispatcher in the same run.

Change: eiderfield/lab has a stand-in worker, phones (a process that opens, holds, wakes, drips), an open-loop stream with latencies from the scheduled times, and readings of /proc; eiderfield lab idle joins them. Click for the command line (arguments, help and errors are its matter), hdrhistogram for latencies (mergeable, known error), rich for tables; pinned in requirements-lab.txt, imported by nothing that the dispatcher runs.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,11 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: build test lint run batch
+.PHONY: build test lint run batch idle
 
 build:
 	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip -q install -r requirements.txt -r requirements-dev.txt
+	$(BIN)/pip -q install -r requirements.txt -r requirements-lab.txt -r requirements-dev.txt
 
 test:
 	$(BIN)/python -m pytest -q -p no:cacheprovider
@@ -20,6 +20,11 @@
 run:
 	$(BIN)/python -m eiderfield $(if $(CONFIG),--config $(CONFIG))
 
+# What idle connections cost, some four minutes; IDLE names other sizes and times.
+IDLE ?= --connections 10000 --connections 19000 --window 4 --rounds 8
+idle:
+	$(BIN)/python -m eiderfield.cli lab idle $(IDLE)
+
 # The stand-in scheduler's whole batch; `test` plays a smaller one.
 batch:
 	BATCH_JOBS=10000 $(BIN)/python -m pytest -q -p no:cacheprovider tests/test_batch.py -k scheduler
--- /dev/null
+++ b/eiderfield/cli/lab.py
@@ -0,0 +1,61 @@
+"""`eiderfield lab`: measurements on loopback addresses."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+
+
+@click.group()
+def lab() -> None:
+    """Measures on stand-ins, on this machine's loopback addresses."""
+
+
+Command = TypeVar("Command", bound=Callable[..., Any])
+
+
+def _option(name: str, kind: Any, default: float, text: str) -> Callable[[Command], Command]:
+    return click.option(name, type=kind, default=default, show_default=True, help=text)
+
+
+def _json() -> Callable[[Command], Command]:
+    kind: Any = click.Path(dir_okay=False, path_type=Path)
+    return click.option("--json", "file", type=kind, help="writes the result there")
+
+
+@lab.command()
+@click.option(
+    "--connections", "steps", type=click.IntRange(1), multiple=True, default=(1000, 3000),
+    show_default=True, help="how many idle ones; give it again for each step",
+)  # fmt: skip
+@_option("--processes", click.IntRange(1, 32), 2, "processes that hold phones")
+@_option("--rate", click.FloatRange(1.0, 5000.0), 300.0, "jobs a second")
+@_option("--window", click.FloatRange(1.0, 600.0), 10.0, "seconds of a stream")
+@_option("--rounds", click.IntRange(1, 100), 2, "streams to each dispatcher, in turn")
+@_option("--rest", click.FloatRange(1.0, 60.0), 5.0, "seconds at rest")
+@_option("--wake", click.IntRange(1), 1000, "connections woken within one second")
+@_json()
+def idle(steps: tuple[int, ...], file: Path | None, **more: Any) -> None:
+    """What idle connections cost: memory, processor, and latency of jobs beside them.
+
+    Two dispatchers run side by side, one with a crowd of idle connections. The same stream of jobs goes to
+    one and the other in turn. Exits with 1 if a process did not do its part.
+    """
+    from eiderfield.lab.idle import Idle, Plan
+    from eiderfield.lab.report import show_idle
+    from eiderfield.lab.rig import RigError
+
+    plan = Plan(list(steps), **more, say=lambda text: click.echo(text, err=True))
+    with tempfile.TemporaryDirectory(prefix="eiderfield-lab-") as folder:
+        try:
+            told: dict[str, Any] = Idle(plan, Path(folder)).run()
+        except RigError as error:
+            raise click.ClickException(str(error)) from None
+    if file is not None:
+        file.write_text(json.dumps(told, indent=1) + "\n")
+    show_idle(told)
--- /dev/null
+++ b/eiderfield/lab/__init__.py
@@ -0,0 +1,2 @@
+"""The laboratory: stand-ins, load and measurements, on loopback addresses alone. The dispatcher imports none
+of it."""
--- /dev/null
+++ b/eiderfield/lab/report.py
@@ -0,0 +1,49 @@
+"""Results as tables on the terminal."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+
+def _ms(figures: dict[str, float]) -> str:
+    return " / ".join(f"{figures[name]:.1f}" for name in ("p50", "p99", "p99.9"))
+
+
+def _ratio(figures: dict[str, float]) -> str:
+    return " / ".join(f"{figures[name]:.2f}" for name in ("p50", "p99", "p99.9"))
+
+
+def show_idle(told: dict[str, Any], console: Console | None = None) -> None:
+    """The result of `eiderfield lab idle`."""
+    console = console or Console(width=120)
+    table = Table(title=f"Idle connections, {told['rate']:g} jobs a second; latencies p50 / p99 / p99.9")
+    titles = "idle", "B each", "kernel B each", "at rest, calm", "crowded", "calm, ms", "crowded, ms", "ratio"
+    for title in titles:
+        table.add_column(title, justify="right")
+    control = told["control"]
+    table.add_row(
+        "none", "", "", "", "", _ms(control["calm"]), _ms(control["crowded"]), _ratio(control["ratio"])
+    )
+    for row in told["steps"]:
+        shares, latency = row["processor at rest"], row["latency"]
+        table.add_row(
+            f"{row['connections']:,}", f"{row['bytes each']:.0f}",
+            f"{row['kernel bytes each, both ends']:.0f}",
+            f"{shares['calm']:.1%}", f"{shares['crowded']:.1%}",
+            _ms(latency["calm"]), _ms(latency["crowded"]), _ratio(latency["ratio"]),
+        )  # fmt: skip
+    console.print(table)
+    woken, expired = told["wake"], told["expire"]
+    statuses = woken["statuses"]
+    console.print(
+        f"{woken['woken']:,} woke within 1 s: {statuses['woken']}, {_ms(woken['latency'])} ms; "
+        f"the stream {_ms(woken['latency of the stream'])} ms, {statuses['stream']}"
+    )
+    console.print(
+        f"{expired['expired']:,} timed out within {expired['seconds']:.2f} s: the stream "
+        f"{_ms(expired['crowded'])} ms against {_ms(expired['calm'])} calm, "
+        f"ratio {_ratio(expired['ratio'])}, {expired['statuses']}"
+    )
