--- a/eiderfield/crowd/roster.py
+++ b/eiderfield/crowd/roster.py
@@ -90,17 +90,6 @@
         self._count -= 1
         return since, self._mark[key]
 
-    def told(self, key: int) -> tuple[float, int]:
-        """Since when one is parked, and its mark."""
-        if key not in self:
-            raise KeyError(key)
-        return self._since[key], self._mark[key]
-
-    def eldest(self) -> int | None:
-        """One of those that have been quiet for longest, to the second."""
-        second = self._first()
-        return None if second is None else self._heads[second]
-
     def ended(self, now: float, keep: float, most: int) -> list[int]:
         """Those that have been quiet for `keep` ms and the rest of their second, at most so many."""
         found: list[int] = []
--- a/tests/test_full_house.py
+++ b/tests/test_full_house.py
@@ -7,11 +7,10 @@
 from math import inf
 
 import pytest
-from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, precondition, rule, run_state_machine_as_test
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 from test_handover import LISTEN, Wire
-from test_parking import IDLING, House, Phone, message
+from test_parking import IDLING, House, Phone, message, play
 
 from eiderfield.net.acquirer import Given
 from eiderfield.net.handover import BATCH, Handover
@@ -301,10 +300,4 @@
 
 
 def test_random_steps_of_passing_on():
-    run_state_machine_as_test(
-        Passing,
-        settings=settings(
-            derandomize=True, max_examples=60, stateful_step_count=20, deadline=None, database=None,
-            phases=[Phase.explicit, Phase.generate, Phase.shrink],
-        ),
-    )  # fmt: skip
+    play(Passing, 60, 20)
--- a/tests/test_parking.py
+++ b/tests/test_parking.py
@@ -566,11 +566,16 @@
         self.house.close()
 
 
-def test_random_steps_of_a_crowd():
+def play(machine, examples, steps):
+    """Random steps of a machine, the same in each run."""
     run_state_machine_as_test(
-        Crowd,
+        machine,
         settings=settings(
-            derandomize=True, max_examples=150, stateful_step_count=25, deadline=None, database=None,
+            derandomize=True, max_examples=examples, stateful_step_count=steps, deadline=None, database=None,
             phases=[Phase.explicit, Phase.generate, Phase.shrink],
         ),
     )  # fmt: skip
+
+
+def test_random_steps_of_a_crowd():
+    play(Crowd, 150, 25)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -13,7 +13,6 @@
     st.tuples(st.just("join"), KEYS, st.floats(0.0, 20.0 * SPAN)),
     st.tuples(st.just("leave"), KEYS, st.none()),
     st.tuples(st.just("ended"), st.integers(1, 5), st.floats(0.0, 30.0 * SPAN)),
-    st.tuples(st.just("eldest"), st.none(), st.none()),
 )
 
 
@@ -37,10 +36,6 @@
             over = {k for k, since in model.items() if (since // SPAN + 1) * SPAN + keep <= value}
             found = roster.ended(value, keep, key)
             assert len(found) == len(set(found)) == min(key, len(over)) and set(found) <= over
-        elif what == "eldest":
-            eldest = roster.eldest()
-            assert (eldest is None) == (not model)
-            assert eldest is None or model[eldest] // SPAN == min(model.values()) // SPAN
         assert len(roster) == len(model) and all((k in roster) == (k in model) for k in range(31))
         first = min(model.values(), default=inf)
         assert roster.ends_at(keep) == (inf if first == inf else (first // SPAN + 1) * SPAN + keep)
