Let a lot decide which of many dispatchers may send a cold worker a whole job

Counted over the logs of all forty dispatchers: not one leg went to a worker in its 8.6 s of warm-up. At fault: `_cold_left` gives each dispatcher its part of the allowance of rule 4, about 30 ms of work in 1.5 s, and `_free` and `_ready` ask for a whole job of 300 ms or more, so that the sum rounded down to nothing. Now: above 8 dispatchers a lot decides. Its numbers come from the worker, the window since its start and the dispatcher's own number, so they lie evenly between the dispatchers and the sum is the allowance, without any talk. Up to 8 the parts hold whole jobs and everything is as before.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -1,8 +1,7 @@
 """Every decision of eiderfield: which job goes to which worker and when, and which is refused.
 
-The types, events and actions are in `eiderfield/interface.py`, the reasons in `docs/design.md`. In order:
-tunables, the job with its attempts, the worker, a class's pacer and the lane of its buffers, the Dispatcher,
-which reads no clock and does no I/O. Times are milliseconds.
+The types, events and actions are in `eiderfield/interface.py`, the reasons in `docs/design.md`.
+The Dispatcher reads no clock and does no I/O. Times are milliseconds.
 """
 
 from __future__ import annotations
@@ -58,6 +57,7 @@
 STUCK_RUNS = 8.0  # mean running times that a job may wait unstarted before it is called off to go elsewhere
 STUCK_NOTES = 3.6  # as SILENT_NOTES, for one job of a worker that gives others: pauses swallow notes
 COLD_REST = 0.1  # share of the warm-up for which a cold worker is no home: jobs there would mostly be late
+MANY = 8  # nodes above which one's part of a cold worker's budget is mostly less than a job
 COLD_MARGIN = 0.5  # share of the cold allowance that is used, for what other nodes and chance add
 RETRY_SHARE = 0.1  # repeats of what may have run, as a share of sends
 EWMA = 0.05  # weight of a new observation in a mean
@@ -153,6 +153,7 @@
     silent: bool = False
     recent: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=64))  # cold: time, work
     cold_left: float = INF
+    ticket: float = 1.0  # cold: the share of a job's cost that must be left of the budget
     slots_free: float = 0.0  # as last reported, less own sends since
     reported: float = -INF
     probed: float = -INF
@@ -461,14 +462,13 @@
 
     def _report(self, worker: Worker | None, load: tuple[float, ...], now: float) -> None:
         if worker is not None and load and self._free_slots >= 0:
-            worker.slots_free = round(load[self._free_slots])
+            worker.slots_free, worker.reported = round(load[self._free_slots]), now
             self._saw_slots(worker, worker.slots_free)
-            worker.reported = now
 
     def _served(self, attempt: Attempt, event: Ended, now: float) -> None:
         job = attempt.job
-        usual = max(job.lane.pacer.run_of(job.hint), job.cls.aim)
-        attempt.worker.alive(now, event.elapsed < SILENT_RUNS * usual)
+        late = event.elapsed >= SILENT_RUNS * max(job.lane.pacer.run_of(job.hint), job.cls.aim)
+        attempt.worker.alive(now, not late)
         ran = event.elapsed if attempt.started is None else now - attempt.started
         job.lane.pacer.learn(ran, job.hint)
         self._fade(now)
@@ -528,10 +528,9 @@
             elif entry.ready_at != worker.entry.ready_at:
                 worker.alive(now, True)  # a new process under the old id owes nothing to the past
             worker.entry = entry
-        if event.kind != ListKind.DELTA:
-            for id_, worker in self._workers.items():
-                if id_ not in named and worker.entry.state != State.GONE:
-                    worker.entry = replace(worker.entry, state=State.GONE)
+        for id_ in () if event.kind == ListKind.DELTA else self._workers.keys() - named:
+            worker = self._workers[id_]
+            worker.entry = replace(worker.entry, state=State.GONE)
         listed = [w for w in self._workers.values() if w.entry.state == State.READY]
         if listed != self._listed:
             self._listed = listed
@@ -563,8 +562,7 @@
         worker.silent = worker.silent and bool(worker.open)  # with nothing left there, a trial must tell
 
     def _enqueue(self, job: Job, queue: OrderedDict[int, Job]) -> None:
-        job.queue = queue
-        queue[job.id] = job
+        job.queue, queue[job.id] = queue, job
         self._held += 1
         self._held_run += job.run
 
@@ -686,19 +684,17 @@
             for queue in (lane.slb, lane.grb):  # what is late must not make what comes after it late as well
                 for job in [job for job in islice(queue.values(), SLB_SIZE) if now > job.timely]:
                     del queue[job.id]
-                    job.queue = lane.late
-                    lane.late[job.id] = job
+                    job.queue, lane.late[job.id] = lane.late, job
             while lane.grb and lane.room():
                 _, job = lane.grb.popitem(last=False)
-                job.queue = lane.slb
-                job.queue[job.id] = job
+                job.queue, lane.slb[job.id] = lane.slb, job
         # If most workers are silent, doubt the evidence and keep serving. A failed connection is certain.
         self._doubt = 2 * sum([w.silent for w in self._mine]) > len(self._mine)
         self._fade(now)
         free = [w for w in self._mine if self._free(w, now)]
         if self._probes and not any(self._shown(w, now) > 0.0 for w in free):
-            since = now - LOOK_AGAIN
-            asked = [w for w in self._mine if self._usable(w, now) and max(w.reported, w.probed) < since]
+            asked = [w for w in self._mine if max(w.reported, w.probed) < now - LOOK_AGAIN]
+            asked = [w for w in asked if self._usable(w, now)]
             for worker in self._rng.sample(asked, min(PROBES, len(asked))):
                 worker.probed = now
                 self._probing = now + PROBE_WAIT
@@ -739,7 +735,7 @@
         if full or (self._peers and worker.total(now) >= most):
             return False
         worker.cold_left = self._cold_left(worker, now) if worker.entry.ready_at > 0.0 else INF
-        return worker.cold_left >= self._least
+        return worker.cold_left >= self._least * worker.ticket
 
     def _pick(self, job: Job, free: list[Worker], now: float) -> Worker | None:
         """The ready worker of the job's kind that holds fewest own jobs, ties broken at random."""
@@ -763,8 +759,7 @@
     def _homes(self, job: Job, now: float) -> list[Worker]:
         """The free ones of a key's homes: as many as its share of this node's traffic needs (incident
         ia7713c), first in the key's own order (rendezvous hashing), the same at every node."""
-        key = job.key
-        ring = self._rings.get(key)
+        key, ring = job.key, self._rings.get(job.key)
         if ring is None:
             ring = self._rings[key] = sorted(self._listed, key=lambda w: mix(key, w.entry.worker))
         most = max(HOMES, ceil(HOME_ROOM * self._keys[key] / max(1.0, self._keyed) * len(self._listed)))
@@ -790,7 +785,7 @@
         if not self._trusted(worker, job) or (job.cls.kind >= 0 and worker.entry.kind != job.cls.kind):
             return False
         there = any(a.worker is worker and a.open for a in job.attempts)
-        return not there and job.cost <= worker.cold_left and self._legal(job, worker, now)
+        return not there and job.cost * worker.ticket <= worker.cold_left and self._legal(job, worker, now)
 
     def _cold(self, worker: Worker, now: float) -> bool:
         return worker.entry.ready_at > 0.0 and max(0.0, now - worker.entry.ready_at) < self._set.cold
@@ -808,12 +803,17 @@
         allowed = COLD_MARGIN * self._set.fall_multiple * share * self._each * self._set.fall
         while worker.recent and worker.recent[0][0] <= now - self._set.fall:
             worker.recent.popleft()
+        if self._set.balancers > MANY:
+            # Each may send a part of a job: rounded down it starves the worker, rounded up it pushes it over.
+            # A lot decides, whose numbers lie evenly between the nodes though they do not talk.
+            draw = mix(worker.entry.worker, int((now - worker.entry.ready_at) / self._set.fall)) / 2.0**64
+            worker.ticket = (draw + self._set.me / self._set.balancers) % 1.0
         return allowed - sum([work for _, work in worker.recent])
 
     def _send(self, job: Job, worker: Worker, now: float) -> None:
         """The one gate of sends: enforces rules 2, 3 and 4 whatever the callers meant."""
-        over = job.answered or worker.entry.state != State.READY or job.cost > worker.cold_left
-        if over or not self._legal(job, worker, now):
+        over = job.answered or worker.entry.state != State.READY
+        if over or job.cost * worker.ticket > worker.cold_left or not self._legal(job, worker, now):
             return
         self._unqueue(job)
         attempt = Attempt(job, len(job.attempts), worker, worker.entry, now, now)
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 import pytest
-from conftest import BASE, Node, sends
+from conftest import BASE, SAFE, Node, sends
 
 from eiderfield.interface import (
     Due,
@@ -177,6 +177,40 @@
     assert node.dispatcher._each == pytest.approx(2.0)
 
 
+def cold_day(nodes, rate=100.0, work=500.0):
+    """Nodes that serve `rate` jobs a second all together on ten workers, of which one starts cold at 60 s.
+
+    Returns the work sent to it in each window of 2 s, as a share of what rule 4 allows there."""
+    settings = replace(BASE, classes=(SAFE,), balancers=nodes)
+    many = [Node(replace(settings, me=me), workers=10, seed=me) for me in range(nodes)]
+    each = rate * work / 1000.0 / nodes  # what one node has served in a ms
+    for node in many:
+        node.dispatcher._served_rate, node.dispatcher._served_at = each, 60_000.0
+        node.dispatcher._pacers[0].run = work
+        node.play(Listed(ListKind.DELTA, 2, (Entry(1, ready_at=60_000.0),)), at=60_000.0)
+    sent = Counter()
+    for turn in range(int(rate * 8.0)):
+        now, node = 60_000.0 + 1000.0 * turn / rate, many[turn % nodes]
+        node.now = now
+        for id_, attempt in [at for w in node.dispatcher._listed for at in w.open]:  # the one before is over
+            node.end(id_, attempt, 0, Outcome.OK, final=True, elapsed=work)
+        node.dispatcher._served_rate, node.dispatcher._served_at = each, now
+        for send in sends(node.arrive(key=7)[1]):
+            node.play(Noted(send.id, 0, send.worker, 1, 0.0))
+            sent[int((now - 60_000.0) / BASE.fall)] += work * (send.worker == 1)
+    warm = rate * work / 1000.0 / 10.0  # one warm worker's work in a ms
+    cold = [BASE.cold_share + (1.0 - BASE.cold_share) * w * BASE.fall / BASE.cold for w in range(4)]
+    return [sent[w] / (BASE.fall_multiple * cold[w] * warm * BASE.fall) for w in range(4)]
+
+
+def test_forty_nodes_together_neither_starve_a_cold_worker_nor_push_it_over():
+    """Six in ten workers replaced among forty nodes: each one's part of the budget was a fifth of a job, so
+    that nobody sent any, and new workers stood idle until they were warm."""
+    shares = cold_day(40)
+    assert all(0.1 <= share <= 1.0 for share in shares), shares
+    assert sum(shares) > 0.6, "a cold worker is of use"
+
+
 def test_a_job_that_starts_at_clock_zero_has_started():
     """A start time of 0 was taken for none, and the worker's count of unstarted jobs went below none."""
     node = Node(workers=1)
