Give each dispatcher a turn for its first call to discovery, and drawn waits after failures

The fleet sent 9,700 legs to workers long gone (521) or draining (429), and almost none to the new ones. At fault: `Following.follow` called at once in every process, and `Follower.lost` doubled its wait to 1 s, the same for all, so that the source's line stayed full of calls that nobody waited for any more. Now: `eiderfield/net/turns.py` gives the waits. First calls are 150 ms apart by the dispatcher's number, where it holds a list; waits after failures grow with the number of dispatchers and three quarters of each are drawn.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -17,6 +17,7 @@
 from dataclasses import fields
 from functools import partial
 from pathlib import Path
+from random import Random
 
 from eiderfield.batch.front import BatchFront
 from eiderfield.batch.jobs import Book
@@ -33,6 +34,7 @@
 from eiderfield.net.loop import Clock, Driver
 from eiderfield.net.memory import share_of
 from eiderfield.net.routing import Follower, Following, RoutingTable, Watcher
+from eiderfield.net.turns import Turns
 from eiderfield.net.worker import WorkerSide
 
 ACCEPTING = 700.0  # ms after SIGTERM for which new connections are still taken
@@ -166,14 +168,17 @@
 
     def _follower(self, source: Discovery, whole: bool = False) -> Follower | None:
         """What follows a source; `whole` for one whose lists need not fit the table's."""
-        driver, clock = self._driver, self._driver.clock
+        driver, clock, site = self._driver, self._driver.clock, self._config.site
         if source.address is None:
             return None
+        follower: Follower
         if source.kind == "consul":
-            return ConsulFollower(self.table, driver.wheel, clock, driver.dial, source, log)
-        watcher = Watcher(self.table, driver.wheel, clock, driver.dial, source.address, log)
-        watcher.whole = whole
-        return watcher
+            follower = ConsulFollower(self.table, driver.wheel, clock, driver.dial, source, log)
+        else:
+            follower = watcher = Watcher(self.table, driver.wheel, clock, driver.dial, source.address, log)
+            watcher.whole = whole
+        follower.turns = Turns(site.balancers, site.me, Random(self._config.seed))
+        return follower
 
     def reload(self, load_again: Callable[[], Config]) -> None:
         """Takes a new configuration: the table and every job stay, whatever it says or lacks."""
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -15,12 +15,11 @@
 from eiderfield.interface import Entry, ListKind, State
 from eiderfield.net.bans import Bans, parse
 from eiderfield.net.http import Head, Malformed, Parser, request_bytes
+from eiderfield.net.turns import Turns
 from eiderfield.net.worker import Address, Dial, Dialling, WorkerSide
 
 DIAL = 1000.0  # ms that a connection to the source may take to come up
 SILENCE = 2600.0  # ms without even an empty line, which comes every 2 s, until the watch is opened anew
-BACKOFF = 100.0  # ms until the next try, doubled up to BACKOFF_MOST
-BACKOFF_MOST = 1000.0
 MAX_LIST = 4 * 1024 * 1024  # bytes of one list: thousands of workers
 
 _STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
@@ -257,6 +256,7 @@
         address: Address,
         log: Callable[[str], None],
     ) -> None:
+        self.turns = Turns()  # the program puts in its own, where others share the source
         self.first: Callable[[], None] = lambda: None  # called when the source has told its first list
         self.table = table
         self.address = address
@@ -268,7 +268,6 @@
         self._dial = dial
         self._dialling: Dialling | None = None
         self._timer: Timer | None = None
-        self._backoff = BACKOFF
         self._leaving = False
 
     def message(self) -> bytes:
@@ -290,6 +289,13 @@
         """An answer's end."""
         raise NotImplementedError
 
+    def begin(self) -> None:
+        """Opens the first feed, when it is this dispatcher's turn."""
+        if wait := self.turns.first(self.table.index is not None):
+            self.arm(wait, self.start)
+        else:
+            self.start()
+
     def start(self) -> None:
         """Opens a feed."""
         if not self._leaving:
@@ -322,7 +328,7 @@
     def heard(self) -> None:
         """A sign of life."""
         feed = self.feed
-        self._backoff = BACKOFF
+        self.turns.heard()
         if feed is not None:
             self.arm(self.silence, lambda: self.lost(feed, "it is silent"))
 
@@ -334,9 +340,9 @@
         if self._leaving:
             self.log(f"discovery: {why}; another source is about to take over")
             return
-        self.log(f"discovery: {why}; following again after index {self.table.index}")
-        self.arm(self._backoff, self.start)
-        self._backoff = min(BACKOFF_MOST, 2.0 * self._backoff)
+        wait = self.turns.next()
+        self.log(f"discovery: {why}; following again after index {self.table.index} in {wait:.0f} ms")
+        self.arm(wait, self.start)
 
     def arm(self, wait: float, call: Callable[[], None]) -> None:
         """Sets the one timer."""
@@ -405,7 +411,7 @@
             self._next = follower
             follower.first = self._take_over
         if follower is not None:
-            follower.start()
+            follower.begin()
 
     def stop(self) -> None:
         """Ends all feeds."""
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,7 +16,8 @@
 
 from eiderfield.config import ConfigError, load
 from eiderfield.interface import State
-from eiderfield.net.routing import BACKOFF_MOST, DIAL, Following, Watcher
+from eiderfield.net.routing import DIAL, Following, Watcher
+from eiderfield.net.turns import MOST
 
 CONFIG = {
     "name": "n0",
@@ -84,7 +85,7 @@
     old.pipe.break_off()
     for _ in range(3):
         moving.dials(8600)[-1].refuse()
-        moving.desk.advance(BACKOFF_MOST)
+        moving.desk.advance(MOST)
     assert not moving.dials(8500) and moving.states == [State.READY]
     moving.up(8600).say(news("DRAINING"))
     assert moving.states == [State.DRAINING]
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,104 @@
+"""A source that many dispatchers share: who calls it when: at a start, after failures, after garbage."""
+
+import heapq
+import json
+from collections import deque
+from random import Random
+
+import pytest
+from desk import Desk
+
+from eiderfield.net.routing import Following, Watcher
+from eiderfield.net.turns import FEW, LEAST, MOST, TURN, WAIT, Turns
+
+SERVICE = 125.0  # ms of the source's time that a call takes
+PATIENCE = 2000.0  # ms that a call waits in line; one that has waited longer fails, its place used up
+
+
+def served(turns, until, calls):
+    """When each dispatcher has its list: `calls` are the times of the first calls. None for who has none."""
+    line, free, done = [(at, number) for number, at in enumerate(calls)], 0.0, [None] * len(calls)
+    heapq.heapify(line)
+    queue = deque()
+    while line and line[0][0] <= until:
+        at, number = heapq.heappop(line)
+        while queue and queue[0] <= at:
+            queue.popleft()
+        begins = max(at, free)
+        if begins - at > PATIENCE:  # it waits in vain, and the source finds out only when it gets to it
+            free = begins + 0.5 * SERVICE
+            heapq.heappush(line, (at + PATIENCE + turns[number].next(), number))
+        else:
+            free = begins + SERVICE
+            turns[number].heard()
+            done[number] = free
+    return done
+
+
+def forty(sharers=40):
+    return [Turns(sharers, number, Random(number)) for number in range(40)]
+
+
+def test_forty_dispatchers_that_start_together_all_get_their_list_within_the_time_it_may_take():
+    """Discovery failed 24 of 40 calls made at once, and none of those 24 ever got through again in 30 s."""
+    turns = forty()
+    done = served(turns, 60_000.0, [turn.first(True) for turn in turns])
+    assert all(at is not None and at < 6200.0 for at in done)
+    assert served(forty(1), 6000.0, [0.0] * 40).count(None) > 10, "at once most of them fail"
+
+
+def test_calls_that_failed_together_do_not_come_back_together():
+    """Waits that doubled to 1 s for everybody kept 27 calls a second at the source's door."""
+    done = served(forty(), 60_000.0, [0.0] * 40)
+    assert all(at is not None for at in done)
+    alike = served(forty(1), 60_000.0, [0.0] * 40)
+    assert max(done) < max(at or 60_000.0 for at in alike)
+
+
+def test_few_dispatchers_wait_as_short_as_ever_and_a_lone_one_calls_at_once():
+    assert Turns().first(True) == 0.0 and Turns(4, 3).first(True) == 3 * TURN
+    waits = [Turns(FEW, 0, Random(1)).next() for _ in range(3)]
+    assert all(LEAST * WAIT <= wait <= WAIT for wait in waits)
+    turns = Turns(4, 0, Random(1))
+    assert all(turns.next() <= MOST for _ in range(20))
+
+
+def test_waits_are_bounded_grow_with_failures_and_begin_anew_after_an_answer():
+    turns = Turns(40, 0, Random(2))
+    waits = [turns.next() for _ in range(30)]
+    assert max(waits[:2]) <= 2.0 * WAIT * 10 and max(waits) <= turns.most == MOST * 10
+    assert min(waits[4:]) >= LEAST * turns.most and len(set(waits)) == 30
+    turns.heard()
+    assert turns.next() <= WAIT * 10
+
+
+def follow(number, index):
+    """A desk whose table is or isn't known, and its watch of port 8500."""
+    desk = Desk(workers=1)
+    desk.table.index = index
+    watcher = Watcher(desk.table, desk.wheel, desk.clock, desk.dial, ("127.0.0.1", 8500), desk.logged.append)
+    watcher.turns = Turns(40, number, Random(number))
+    Following().follow(watcher)
+    return desk
+
+
+def test_a_dispatcher_that_holds_a_list_waits_for_its_turn_and_one_without_does_not():
+    desk = follow(7, 3)
+    desk.advance(7 * TURN - 5.0)
+    assert not desk.dials
+    desk.advance(20.0)
+    assert len(desk.dials) == 1
+    assert len(follow(7, None).dials) == 1
+
+
+@pytest.mark.parametrize("bad", [b"garbage\n", b'{"index":1}\n', b'{"index":"x","endpoints":[]}\n', b"[]\n"])
+def test_garbage_changes_nothing_and_is_followed_by_a_drawn_wait_that_the_log_names(bad):
+    desk = follow(0, 3)
+    before = dict(desk.exchange._table)
+    feed = desk.dials[-1].up()
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    feed.pipe.send(head + b"%x\r\n%s\r\n" % (len(bad), bad))
+    assert desk.exchange._table == before and not feed.pipe.open
+    assert "following again after index 3 in " in desk.logged[-1], json.dumps(desk.logged)
+    desk.advance(10.0 * WAIT + 5.0)
+    assert len(desk.dials) == 1, "and it comes back"
