--- a/eiderfield/net/turns.py
+++ b/eiderfield/net/turns.py
@@ -13,10 +13,11 @@
 
 from random import Random
 
-TURN = 150.0  # between the first calls of two dispatchers: at 40, all within the 6 s that a list may take
-WAIT = 100.0  # before the next call after a failure, doubled up to MOST; both for up to FEW dispatchers
-MOST = 1000.0
-FEW = 4
+TURN = 8.0  # between the first calls of two dispatchers: what a source may tell counts as told at once
+WAIT = 100.0  # before the next call after a failure, for each sharer where there are more than FEW, doubled
+MOST = 1000.0  # up to this, or for each sharer up to MOST_EACH
+MOST_EACH = 400.0
+FEW = 8  # who may call together: forty calls at once left a source that serves eight a second far behind
 LEAST = 0.25  # share of a wait that is always kept; the rest is drawn
 
 
@@ -24,26 +25,25 @@
     """The waits of one dispatcher, the `number`-th of `sharers`."""
 
     def __init__(self, sharers: int = 1, number: int = 0, rng: Random | None = None) -> None:
-        self._crowd = max(1.0, sharers / FEW)
+        crowd = sharers if sharers > FEW else 1
+        self.most = max(MOST, MOST_EACH * crowd)  # the longest wait that `next` gives
+        self._least = self._wait = WAIT * crowd
         self._first = TURN * number
         self._rng = rng or Random(number)
-        self._wait = WAIT
-
-    @property
-    def most(self) -> float:
-        """The longest wait that `next` gives."""
-        return MOST * self._crowd
 
     def first(self, knows: bool) -> float:
-        """Until the first call. One that knows no list yet serves nobody, and has no time to wait."""
+        """Until the first call. One that knows no list yet serves nobody, and has no time to wait.
+
+        Nor has one that holds an old list much: it sends to workers that drain or are gone, and answers for
+        that as if it had asked."""
         return self._first if knows else 0.0
 
     def next(self) -> float:
         """Until the call after one that failed."""
-        wait = self._wait * self._crowd
-        self._wait = min(MOST, 2.0 * self._wait)
+        wait = self._wait
+        self._wait = min(self.most, 2.0 * wait)
         return wait * (LEAST + (1.0 - LEAST) * self._rng.random())
 
     def heard(self) -> None:
         """The source has answered: the next failure is the first."""
-        self._wait = WAIT
+        self._wait = self._least
