Among many dispatchers call off soon what waits unstarted, and keep a repeat in its group

Counted over all forty logs: jobs waited up to 10 deep at one worker (20 after a replacement) while 3 to 5 of 60 workers were empty and half of the slots free; nine waits in ten ended within 0.5 s, the rest took up to 1.5 s. A dispatcher has 5 jobs a second for 60 workers, so that own jobs there, 0 or 1, tell nothing of the queue. Keyed jobs called off waited up to 11 s for homes in zones that they may not go to. At fault: `_stuck` gave 8 running times of patience, `_may_help` let such repeats cost the budget of what may run twice, and `_homes` offered a repeat workers outside its group. What was called off unstarted costs no budget, and the worker where it waited rests for 0.4 s. The homes of a repeat are the first of its group in the key's order.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -1,8 +1,7 @@
 """Every decision of eiderfield: which job goes to which worker and when, and which is refused.
 
 The types, events and actions are in `eiderfield/interface.py`, the reasons in `docs/design.md`.
-The Dispatcher reads no clock and does no I/O. Times are milliseconds.
-"""
+The Dispatcher reads no clock and does no I/O. Times are milliseconds."""
 
 from __future__ import annotations
 
@@ -55,6 +54,8 @@
 FAULT_FADE = 0.8  # how much less each error weighs than the next job's
 FAULTY = 1.5  # faults at which a worker is rested: two errors in a row, or every third job
 STUCK_RUNS = 8.0  # mean running times that a job may wait unstarted before it is called off to go elsewhere
+STUCK_MANY = 0.2  # the same among many nodes, where other nodes' jobs wait there unseen
+QUEUED = 0.1  # weight of one job's wait in their mean: below that mean, no job of many nodes is called off
 STUCK_NOTES = 3.6  # as SILENT_NOTES, for one job of a worker that gives others: pauses swallow notes
 COLD_REST = 0.1  # share of the warm-up for which a cold worker is no home: jobs there would mostly be late
 MANY = 8  # nodes above which one's part of a cold worker's budget is mostly less than a job
@@ -277,13 +278,11 @@
             for over in (False, True)
         }
         self._by_worth = sorted(self._lanes.values(), key=lambda lane: lane.worth, reverse=True)
-        queues = [(x.worth, x.grb) for x in self._by_worth] + [(x.worth, x.slb) for x in self._by_worth]
-        late = [x.late for x in self._by_worth]
-        self._shed_order = late + [queue for _, queue in sorted(queues, key=lambda pair: pair[0])]
+        held = [(x.worth, x.grb) for x in self._by_worth] + [(x.worth, x.slb) for x in self._by_worth]
+        self._shed_order = [x.late for x in self._by_worth] + [q for _, q in sorted(held, key=lambda p: p[0])]
         self._shares = [1.0 * t.quota_per_s / settings.balancers for t in settings.tenants]
         self._credit = [(0.0, s) for s in self._shares]  # time and tokens of each tenant's share
         self._free_slots = settings.report_fields.index("x0") if "x0" in settings.report_fields else -1
-        self._far_costs = settings.cross_zone_price > 0.0
         self._held, self._held_run = 0, 0.0  # jobs in the buffers, and their expected running time
         self._out = self._keyed = self._token = 0  # own attempts out; keyed jobs so far; the timer's token
         self._served_rate = self._served_at = 0.0  # work served in a ms, averaged, and until when
@@ -291,7 +290,7 @@
         self._slots = defaultdict[int, float](lambda: 2.0)  # most slots seen at a worker of each kind
         self._least = INF  # the least work that a job brought
         self._keys: Counter[int] = Counter()  # jobs of each key so far
-        self._retry_tokens = BURST
+        self._retry_tokens, self._queued = BURST, 0.0  # repeats saved up; mean wait of jobs to start, in ms
         self._peers: list[int] = []  # nodes that share this node's workers, where they may talk
         self._changed: dict[int, Worker] = {}  # workers at which own jobs came or went in this call
         self._sharers = float(settings.balancers)  # nodes that send to one worker
@@ -317,9 +316,9 @@
     def memory(self) -> dict[str, Any]:
         """What the next process in this node's place goes on from, in plain values."""
         cold = [(w.entry.worker, list(w.recent)) for w in self._workers.values() if w.recent]
-        spent = [self._retry_tokens, self._served_rate, self._served_at]
         pacers = [(p.run, p.rate, p.uncut, p.next_at) for p in self._pacers]
         keys, slots = self._keys.most_common(KEYS_TOLD), list(self._slots.items())
+        spent = [self._retry_tokens, self._served_rate, self._served_at]
         return {"pacers": pacers, "spent": spent, "cold": cold, "keys": keys, "slots": slots}
 
     def resume(self, memory: dict[str, Any]) -> None:
@@ -367,8 +366,8 @@
         self._wake *= event.token != self._token  # only the latest timer counts
 
     def _gone(self, event: ClientGone, now: float) -> None:
-        if (job := self._jobs.get(event.id)) is not None:
-            self._finish(job)
+        if event.id in self._jobs:
+            self._finish(self._jobs[event.id])
 
     def _flowing(self, event: Flowing, now: float) -> None:
         if (job := self._jobs.get(event.id)) is not None:
@@ -398,9 +397,8 @@
         heapq.heappush(self._deadlines, (job.due - 2.0 * self._set.tick, job.id))
         self._enqueue(job, lane.grb)
         # Bounded by count alone, a GRB holds seconds of work for aims of half a second (incident i1da742).
-        wait = self._held_run / max(1, self._out)
-        too_long = self._held > SLB_SIZE and wait > GRB_WAIT * slack
-        if too_long or self._held > GRB_PER_WORKER * max(4, len(self._mine)):
+        wait, most = self._held_run / max(1, self._out), GRB_PER_WORKER * max(4, len(self._mine))
+        if self._held > most or (self._held > SLB_SIZE and wait > GRB_WAIT * slack):
             self._shed(wait)
 
     def _over_share(self, tenant: int, repeat: bool, now: float) -> bool:
@@ -427,7 +425,7 @@
         self._report(worker, event.load, now)
         attempt.may_have_run = outcome not in NEVER_RAN
         if outcome in (Outcome.OK, Outcome.ERROR):
-            worker.faults *= FAULT_FADE
+            worker.faults = worker.faults * FAULT_FADE + (outcome == Outcome.ERROR)
         if attempt.started is not None:
             worker.learn(now, (now - attempt.started) / attempt.job.run, outcome == Outcome.OK)
         if outcome == Outcome.OK:
@@ -450,11 +448,13 @@
         elif outcome == Outcome.ERROR:
             worker.alive(now)
             # A worker that fails its jobs at once holds fewest of them and would draw all others in.
-            worker.faults += 1.0
             if worker.faults > FAULTY:
                 worker.strike(now)
+        elif outcome == Outcome.CANCELLED and attempt.started is None:
+            self._queued += QUEUED * (now - attempt.sent - self._queued)
+            worker.full_until = now + 2.0 * LOOK_AGAIN  # where one has waited too long the next would too
         if job is None:
-            del self._late_attempts[(event.id, event.attempt)]
+            del self._late_attempts[event.id, event.attempt]
         elif event.final:
             self._finish(job)
         elif not job.out() and job.queue is None:
@@ -463,7 +463,7 @@
     def _report(self, worker: Worker | None, load: tuple[float, ...], now: float) -> None:
         if worker is not None and load and self._free_slots >= 0:
             worker.slots_free, worker.reported = round(load[self._free_slots]), now
-            self._saw_slots(worker, worker.slots_free)
+            self._slots[worker.entry.kind] = max(self._slots[worker.entry.kind], worker.slots_free)
 
     def _served(self, attempt: Attempt, event: Ended, now: float) -> None:
         job = attempt.job
@@ -482,21 +482,19 @@
         _, attempt = self._find(event.id, event.attempt)
         if attempt is None or not attempt.open:
             return
-        worker = attempt.worker
+        worker, attempt.heard = attempt.worker, now
         worker.alive(now)
-        attempt.heard = now
         if attempt.started is None and event.what == STARTED:
             attempt.started, worker.fulls = now, 0
             worker.unstarted -= 1
-            self._saw_slots(worker, len(worker.open) - worker.unstarted)
+            self._queued += QUEUED * (now - attempt.sent - self._queued)
+            taken, kind = float(len(worker.open) - worker.unstarted), worker.entry.kind
+            self._slots[kind] = max(self._slots[kind], taken)
             # With many nodes one waiting job of each is a long queue (incident i1da742): after a wait, a node
             # leaves the worker to the others, for so long that all together keep its slots in jobs waiting.
-            pause = (now - attempt.sent) * (self._sharers / self._slots[worker.entry.kind] - 1.0)
+            pause = (now - attempt.sent) * (self._sharers / self._slots[kind] - 1.0)
             worker.full_until = max(worker.full_until, now + pause)
 
-    def _saw_slots(self, worker: Worker, slots: float) -> None:
-        self._slots[worker.entry.kind] = max(self._slots[worker.entry.kind], slots)
-
     def _told(self, event: PeerSaid, now: float) -> None:
         """A peer that shares workers with this node tells how many jobs it has at them."""
         for id_, count in unpack_counts(event.data):
@@ -520,7 +518,6 @@
         if event.kind == ListKind.FAILED:
             self._watching = False
             return
-        named = {entry.worker for entry in event.entries}
         for entry in event.entries:
             worker = self._workers.get(entry.worker)
             if worker is None:
@@ -528,8 +525,8 @@
             elif entry.ready_at != worker.entry.ready_at:
                 worker.alive(now, True)  # a new process under the old id owes nothing to the past
             worker.entry = entry
-        for id_ in () if event.kind == ListKind.DELTA else self._workers.keys() - named:
-            worker = self._workers[id_]
+        silent = self._workers.keys() - {entry.worker for entry in event.entries}
+        for worker in [self._workers[id_] for id_ in silent if event.kind != ListKind.DELTA]:
             worker.entry = replace(worker.entry, state=State.GONE)
         listed = [w for w in self._workers.values() if w.entry.state == State.READY]
         if listed != self._listed:
@@ -594,7 +591,8 @@
 
     def _may_help(self, job: Job, now: float) -> bool:
         """Whether a further attempt is allowed and, where the job may run twice, within the retry budget."""
-        twice = job.first_run() is not None
+        ran = [a for a in job.attempts if a.may_have_run]  # called off unstarted, a job costs no work twice
+        twice = any(a.started is not None or not self._set.tells_start for a in ran)
         legal = any(self._legal(job, w, now) for w in self._listed)
         if job.answered or not legal or (twice and self._retry_tokens < 1.0):
             return False
@@ -656,8 +654,10 @@
         if attempt.started is not None:
             notes = SILENT_NOTES if attempt.worker.silent else STUCK_NOTES
             return attempt.heard + notes * self._set.progress if self._set.progress else INF
-        run = attempt.job.lane.pacer.run_of(attempt.job.hint)
-        return attempt.sent + STUCK_RUNS * max(run, attempt.job.cls.aim) if self._set.tells_start else INF
+        run = max(attempt.job.lane.pacer.run_of(attempt.job.hint), attempt.job.cls.aim)
+        # Where all queues are long, leaving one only loses the place in it and the data fetched for it.
+        patience = max(STUCK_MANY * run, self._queued) if self._set.balancers > MANY else STUCK_RUNS * run
+        return attempt.sent + patience if self._set.tells_start else INF
 
     def _give_up(self, attempt: Attempt, now: float) -> None:
         """Sends a job on whose worker or connection says nothing, within what its class allows."""
@@ -668,7 +668,8 @@
             if self._may_help(job, now):
                 attempt.given_up = True
                 self._hold(job)
-        elif self._set.may_cancel and self._retry_tokens >= 1.0:  # its end, when that is told, sends it on
+        elif self._set.may_cancel and (attempt.started is None or self._retry_tokens >= 1.0):
+            # Its end, when that is told, sends it on.
             limit = self._set.max_attempts
             if any(self._usable(w, now) and may_resend(job, w, now, True, limit) for w in self._listed):
                 attempt.given_up = True
@@ -754,7 +755,7 @@
         pace = worker.pace(now) if self._set.tells_start else 1.0
         tier += pace > SLOW
         load = (len(worker.open) + worker.beside + 1) * (pace if pace > SLOW else 1.0)
-        return tier, self._far_costs and worker.entry.zone != self._set.zone, ceil(load)
+        return tier, self._set.cross_zone_price > 0.0 and worker.entry.zone != self._set.zone, ceil(load)
 
     def _homes(self, job: Job, now: float) -> list[Worker]:
         """The free ones of a key's homes: as many as its share of this node's traffic needs (incident
@@ -763,22 +764,20 @@
         if ring is None:
             ring = self._rings[key] = sorted(self._listed, key=lambda w: mix(key, w.entry.worker))
         most = max(HOMES, ceil(HOME_ROOM * self._keys[key] / max(1.0, self._keyed) * len(self._listed)))
-        homes = [w for w in ring if self._open_home(w, job, now)]
+        homes = [w for w in ring if self._legal(job, w, now) and self._open_home(w, job, now)]  # in its group
         # A cold home takes nobody's place: its budget could let nothing through (incident ia7713c).
         warm = [place for place, w in enumerate(homes, 1) if not self._cold(w, now)]
         last = warm[most - 1] if len(warm) >= most else len(homes)
         return [w for w in homes[:last] if self._free(w, now)]
 
     def _open_home(self, worker: Worker, job: Job, now: float) -> bool:
-        """Whether jobs should wait for this home rather than go to the key's next one. The budget of a worker
-        just started would hold up all that the key sends, as would one that takes nothing or trials alone."""
+        """Whether jobs should wait for this home: not if just started, taking nothing, or trials alone."""
         if (worker.fulls > 1 and now < worker.full_until) or not self._trusted(worker, job):
             return False
         return self._usable(worker, now) and not self._cold(worker, now + (1.0 - COLD_REST) * self._set.cold)
 
     def _trusted(self, worker: Worker, job: Job) -> bool:
-        """Whether the job may go there: a trial job is one of the class safest to repeat."""
-        return not worker.strikes or job.cls.effect == Effect.SAFE or not self._safe_known
+        return not worker.strikes or job.cls.effect == Effect.SAFE or not self._safe_known  # for trials
 
     def _ready(self, worker: Worker, job: Job, now: float) -> bool:
         """Whether this worker may take this job: its kind, rule 2's group, and rule 4's budget."""
@@ -804,8 +803,8 @@
         while worker.recent and worker.recent[0][0] <= now - self._set.fall:
             worker.recent.popleft()
         if self._set.balancers > MANY:
-            # Each may send a part of a job: rounded down it starves the worker, rounded up it pushes it over.
-            # A lot decides, whose numbers lie evenly between the nodes though they do not talk.
+            # Parts of a job, rounded down, starve the worker and, rounded up, push it over: a lot decides,
+            # whose numbers lie evenly between the nodes though they do not talk.
             draw = mix(worker.entry.worker, int((now - worker.entry.ready_at) / self._set.fall)) / 2.0**64
             worker.ticket = (draw + self._set.me / self._set.balancers) % 1.0
         return allowed - sum([work for _, work in worker.recent])
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -6,7 +6,9 @@
 import pytest
 from conftest import BASE, SAFE, Node, sends
 
+from eiderfield.decide import MANY, STUCK_MANY
 from eiderfield.interface import (
+    Cancel,
     Due,
     Entry,
     Listed,
@@ -16,6 +18,7 @@
     PeerSaid,
     Probe,
     Probed,
+    Scope,
     Send,
     Tell,
     mix,
@@ -211,6 +214,81 @@
     assert sum(shares) > 0.6, "a cold worker is of use"
 
 
+CROWD = replace(BASE, balancers=40, may_copy=False, zones=4)
+
+
+def waiting(settings=CROWD, cls=0, workers=8, **more):
+    """A node with one job that waits unstarted at a worker, the job's id and that worker."""
+    node = Node(settings, workers=workers)
+    id_, actions = node.arrive(cls=cls, key=7, **more)
+    return node, id_, sends(actions)[0].worker
+
+
+def cancels(actions):
+    return [a for a in actions if isinstance(a, Cancel)]
+
+
+def test_among_many_nodes_a_job_that_does_not_start_soon_goes_to_another_worker():
+    """Forty nodes see a fortieth of a worker's queue each: up to 18 jobs waited at one worker, a second long,
+    while slots were free at others."""
+    node, id_, worker = waiting()
+    patience = STUCK_MANY * SAFE.aim
+    assert not cancels(node.play(Due(0), at=patience - 2.0))
+    assert cancels(node.play(Due(0), at=patience + 2.0)) == [Cancel(id_, 0)]
+    again = sends(node.end(id_, 0, worker, Outcome.CANCELLED))
+    assert [send.id for send in again] == [id_] and again[0].worker != worker
+    assert not node.dispatcher._free(node.dispatcher._workers[worker], node.now), "the next would wait too"
+
+
+def test_few_nodes_know_the_queue_that_they_made_and_leave_a_job_in_its_place():
+    node, _, _ = waiting(replace(CROWD, balancers=MANY))
+    assert not cancels(node.play(Due(0), at=2.0 * SAFE.aim))
+
+
+def test_where_all_queues_are_long_a_job_keeps_its_place():
+    """While workers fetched for a fleet replaced, every job went from queue to queue, four legs each."""
+    node, id_, worker = waiting()
+    node.dispatcher._queued = 400.0
+    assert not cancels(node.play(Due(0), at=395.0))
+    assert cancels(node.play(Due(0), at=405.0)) == [Cancel(id_, 0)]
+    node.end(id_, 0, worker, Outcome.CANCELLED)
+    assert node.dispatcher._queued > 400.0, "what was called off has waited too"
+    for _ in range(60):
+        node.now += 1000.0
+        other, actions = node.arrive(key=7)
+        for send in sends(actions):
+            node.play(Noted(other, 0, send.worker, 1, 0.0), at=node.now + 10.0)
+            node.end(other, 0, send.worker, Outcome.OK, final=True)
+    assert node.dispatcher._queued < STUCK_MANY * SAFE.aim
+
+
+def test_what_is_called_off_unstarted_is_no_repeat_of_what_may_have_run():
+    node, id_, worker = waiting()
+    node.dispatcher._retry_tokens = 0.0
+    node.play(Due(0), at=STUCK_MANY * SAFE.aim + 2.0)
+    assert sends(node.end(id_, 0, worker, Outcome.CANCELLED)), "it costs no work, and so no budget"
+    node, id_, worker = waiting()
+    node.dispatcher._retry_tokens = 0.0
+    node.play(Noted(id_, 0, worker, 1, 0.0), at=10.0)
+    assert not sends(node.end(id_, 0, worker, Outcome.RESET))
+
+
+def test_a_keyed_repeat_whose_homes_lie_outside_its_group_goes_to_another_of_the_group():
+    """Jobs called off waited for homes in other zones until their clients gave up."""
+    zonal = replace(CROWD.classes[2], scope=Scope.ZONE, window=20_000.0)
+    node = Node(replace(CROWD, classes=(SAFE, zonal)), workers=30)
+    node.dispatcher._keys[1] = node.dispatcher._keyed = 1000  # beside which the others are rare
+    for key in range(2, 20):
+        id_, actions = node.arrive(cls=1, key=key)
+        [first] = sends(actions)
+        zone = first.worker % 3
+        if all(w.entry.zone != zone for w in node.dispatcher._homes(node.dispatcher._jobs[id_], node.now)):
+            break
+    node.play(Due(0), at=STUCK_MANY * SAFE.aim + 2.0)
+    [again] = [s for s in sends(node.end(id_, 0, first.worker, Outcome.CANCELLED)) if s.id == id_]
+    assert again.worker % 3 == zone and again.worker != first.worker
+
+
 def test_a_job_that_starts_at_clock_zero_has_started():
     """A start time of 0 was taken for none, and the worker's count of unstarted jobs went below none."""
     node = Node(workers=1)
