--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -103,10 +103,12 @@
     def _door(self, front: Front, most: int) -> Door:
         """A door for clients."""
         config = self._config
-        return Door(
+        door = Door(
             front, self._driver.wheel, self._driver.clock, most, config.admission.pace.whole, config.idling,
             Governor(config.admission, most), share_of(config.memory_mb),
         )  # fmt: skip
+        door.log = log
+        return door
 
     def _places(self) -> list[tuple[str, Door, Address]]:
         """The doors with what they are for and where they open."""
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -426,6 +426,8 @@
         self.resting = False  # whether another process takes who connects
         self._joining: set[asyncio.Task[None]] = set()
         self._lot: Lot | None = None
+        self._unparked = False  # whether the system has refused a poll set
+        self.log: Callable[[str], None] = lambda text: None  # told once of what the system refuses
         self.parks: Callable[[], None] = lambda: None  # called when one more is parked
         self.departs: Callable[[list[int]], None] = lambda keys: None  # told of borrowed ones that depart
         self._ending: Timer | None = None  # when the time of parked ones ends
@@ -585,8 +587,14 @@
         """Sets how long connections may idle, for those that are parked already too."""
         self.idling = idling
         if self._loop is not None and self._lot is None and idling.park_after < inf:
-            self._lot = Lot(self._left)
-            self._loop.add_reader(self._lot.fileno(), self._wake)
+            try:
+                self._lot = Lot(self._left)
+            except OSError as error:  # no poll set is to be had: connections stay as they are, and are served
+                if not self._unparked:
+                    self._unparked = True
+                    self.log(f"quiet connections are not parked: {error}")
+            else:
+                self._loop.add_reader(self._lot.fileno(), self._wake)
         self._arm()
 
     def park(self, acquirer: Acquirer) -> bool:
--- a/eiderfield/net/link.py
+++ b/eiderfield/net/link.py
@@ -178,8 +178,11 @@
 
 
 def reach(loop: asyncio.AbstractEventLoop, path: Path) -> Link | None:
-    """The link to the process that listens there, None if there is none."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    """The link to the process that listens there, None if there is none or the system has no such sockets."""
+    try:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    except OSError:  # refused outright: who can't be reached can't hand over, and the start goes on
+        return None
     sock.setblocking(False)  # a peer that stands still must not block the start
     try:
         with _reachable(path) as address:
--- /dev/null
+++ b/tests/test_refused_calls.py
@@ -0,0 +1,68 @@
+"""A system that refuses optional calls (ENOSYS): each is named in the log once, and the dispatcher serves."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from test_program import JOB, ROOT, Answering, ask, free_port
+
+# Stands in for a system-call filter: Unix sockets, and poll sets beside the loop's own.
+FILTER = """
+import errno, os, select, socket, sys, types
+refused = set(sys.argv.pop(1).split(","))
+no = OSError(errno.ENOSYS, os.strerror(errno.ENOSYS))
+real = socket.socket
+class Filtered(real):
+    def __init__(self, family=-1, *rest, **more):
+        if family == socket.AF_UNIX and not rest[2:] and "fileno" not in more and "unix" in refused:
+            raise no
+        super().__init__(family, *rest, **more)
+def epoll(*_):
+    raise no
+socket.socket = Filtered
+import eiderfield.crowd.lot as lot
+if "epoll" in refused:
+    lot.select = types.SimpleNamespace(**{**vars(select), "epoll": epoll})
+from eiderfield.__main__ import main
+sys.exit(main())
+"""
+
+
+@pytest.mark.parametrize("refused", ["unix", "epoll", "unix,epoll"])
+def test_what_is_refused_is_named_once_and_the_dispatcher_serves(refused, tmp_path):
+    """On the fleet days a start may not fail for a call that only upgrades or parking need."""
+    worker, port = Answering(), free_port()
+    config = {
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}",
+        "connections": {"park_after_ms": 10},
+        "known": {"index": 1, "snapshot": True, "endpoints": [
+            {"name": "w1", "address": f"127.0.0.1:{worker.port}", "status": "SERVING", "since_ms": 0}]},
+        "settings": {"classes": [{"name": "echo", "value": 1, "goal_time": 300, "give_up": 5000,
+                                  "idempotency": "retryable"}]},
+    }  # fmt: skip
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    environ = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json"), "TMPDIR": str(tmp_path)}
+    process = subprocess.Popen(
+        [sys.executable, "-c", FILTER, refused], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True
+    )
+    try:
+        lines = []
+        while not lines or "listens on" not in lines[-1]:
+            lines.append(process.stderr.readline())
+            assert lines[-1], lines
+        told = [line for line in lines if "Function not implemented" in line]
+        assert len(told) == refused.count(",") + 1, lines
+        assert ("take over" in "".join(told)) == ("unix" in refused)
+        assert ("not parked" in "".join(told)) == ("epoll" in refused)
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            assert ask(sock, JOB) == (200, b"cba")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
