Keep keys closer to their homes and leave a worker for five waits at most among many

At fault: `HOME_ROOM` still gave a key twice the workers that its share fills, from the time when a job stayed where it waited; and the pause in `_noted` reckons with the slots that one dispatcher has seen taken, two where there are six, so that at forty dispatchers it is nineteen waits. Above 8 dispatchers the room is 1.5 now and the pause five waits.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -44,7 +44,8 @@
 HOMES = 2  # workers to which the jobs of one key go first, so that they find their data there
 KEY_MEMORY = 5000  # keyed jobs over which shares of keys are counted
 KEYS_TOLD = 500  # of them the most frequent are told to the next process: the others have HOMES alone
-HOME_ROOM = 2.0  # homes of a key, as a multiple of the workers that its share of the traffic fills
+HOME_ROOM = (2.0, 1.5)  # homes of a key for few and many nodes, in workers that its share of the jobs fills
+PAUSES = 5.0  # waits for which a worker is left to others, at most: one of many nodes never sees its slots
 BURST = 5.0  # repeats that may be saved up
 LOOK_AGAIN = 200.0  # ms after which what was full is looked at again: a queue place frees in about that
 STRIKE_PAUSE = 500.0  # ms without sends after a failed connection or reset, doubled up to STRIKE_PAUSE_MOST
@@ -209,8 +210,7 @@
 
     def learn(self, ran: float, hint: float) -> None:
         """Takes in how long a job ran."""
-        ran /= hint or 1.0
-        self.run += EWMA * (ran - self.run) if self.run else ran
+        self.run += EWMA * (ran / (hint or 1.0) - self.run) if self.run else ran / (hint or 1.0)
 
     def count_send(self, now: float) -> None:
         """Counts a send and, while paced, sets when the next may follow."""
@@ -492,7 +492,7 @@
             self._slots[kind] = max(self._slots[kind], taken)
             # With many nodes one waiting job of each is a long queue (incident i1da742): after a wait, a node
             # leaves the worker to the others, for so long that all together keep its slots in jobs waiting.
-            pause = (now - attempt.sent) * (self._sharers / self._slots[kind] - 1.0)
+            pause = (now - attempt.sent) * min(PAUSES, self._sharers / self._slots[kind] - 1.0)
             worker.full_until = max(worker.full_until, now + pause)
 
     def _told(self, event: PeerSaid, now: float) -> None:
@@ -763,7 +763,7 @@
         key, ring = job.key, self._rings.get(job.key)
         if ring is None:
             ring = self._rings[key] = sorted(self._listed, key=lambda w: mix(key, w.entry.worker))
-        most = max(HOMES, ceil(HOME_ROOM * self._keys[key] / max(1.0, self._keyed) * len(self._listed)))
+        most = max(HOMES, ceil(HOME_ROOM[self._many] * self._keys[key] * len(ring) / max(1, self._keyed)))
         homes = [w for w in ring if self._legal(job, w, now) and self._open_home(w, job, now)]  # in its group
         # A cold home takes nobody's place: its budget could let nothing through (incident ia7713c).
         warm = [place for place, w in enumerate(homes, 1) if not self._cold(w, now)]
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -6,7 +6,7 @@
 import pytest
 from conftest import BASE, SAFE, Node, sends
 
-from eiderfield.decide import MANY, STUCK_MANY
+from eiderfield.decide import MANY, PAUSES, STUCK_MANY
 from eiderfield.interface import (
     Cancel,
     Due,
@@ -283,6 +283,28 @@
     assert node.dispatcher._queued < STUCK_MANY * SAFE.aim
 
 
+def test_a_wait_at_one_worker_does_not_keep_one_of_many_nodes_away_for_twenty_waits():
+    """One node of forty sees two slots at most where there are six, and left the worker to the others so long
+    that jobs went where their data was not."""
+    node, id_, worker = waiting()
+    node.play(Noted(id_, 0, worker, 1, 0.0), at=50.0)
+    assert node.dispatcher._workers[worker].full_until == 50.0 + PAUSES * 50.0
+
+
+def test_among_many_nodes_a_key_keeps_closer_to_its_homes():
+    """Called off where they wait, jobs need fewer homes to choose from, and find their data more often."""
+    homes = []
+    for balancers in (MANY, 40):
+        node = Node(replace(CROWD, balancers=balancers), workers=40)
+        node.dispatcher._keys.update({1: 800, 2: 200})
+        node.dispatcher._keyed = 1000
+        id_, _ = node.arrive(key=2)
+        job = node.dispatcher._jobs[id_]
+        job.attempts.clear()
+        homes.append(len(node.dispatcher._homes(job, 600.0)))
+    assert homes[0] > homes[1] >= 10, homes
+
+
 def test_what_is_called_off_unstarted_is_no_repeat_of_what_may_have_run():
     node, id_, worker = waiting()
     node.dispatcher._retry_tokens = 0.0
