Test that a worker at its cap of connections is not taken for dead among many dispatchers

A failed dial sends the job elsewhere at once and rests the worker for half a second; a trial's answer ends the matter.

--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -305,6 +305,21 @@
     assert homes[0] > homes[1] >= 10, homes
 
 
+def test_a_worker_at_its_cap_of_connections_rests_for_a_moment_and_is_not_taken_for_dead():
+    """Forty dispatchers fill a worker's table of connections; the next dial fails though it serves."""
+    node, id_, worker = waiting()
+    [again] = sends(node.end(id_, 0, worker, Outcome.CONNECT_FAILED))
+    assert again.worker != worker, "the job goes elsewhere at once"
+    node.end(id_, 1, again.worker, Outcome.OK, final=True)
+    full = node.dispatcher._workers[worker]
+    assert not node.dispatcher._free(full, node.now + 400.0) and node.dispatcher._free(full, node.now + 600.0)
+    node.now += 600.0
+    for _ in range(40):  # a trial comes, and its answer makes an end of the matter
+        for send in sends(node.arrive(key=7)[1]):
+            node.end(send.id, 0, send.worker, Outcome.OK, final=True)
+    assert full.strikes == 0 and worker not in node.dispatcher.snapshot(node.now).avoided
+
+
 def test_what_is_called_off_unstarted_is_no_repeat_of_what_may_have_run():
     node, id_, worker = waiting()
     node.dispatcher._retry_tokens = 0.0
