Bound first calls to discovery by a drain's grace, and waits after failures by 6 s

The log of the restarted ones begins at 13.480 s, they listen 0.3 s later, and number 199 called discovery 1.6 s after that: Turns gave TURN * number with no bound. At fault: turns.py, _first = TURN * number, and waits that grew to 20 s and 80 s at 200 sharers. Now all first calls lie within 0.6 of the grace, and no wait is above the 6 s after which all counts as told.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -179,7 +179,7 @@
         else:
             follower = watcher = Watcher(self.table, driver.wheel, clock, driver.dial, source.address, log)
             watcher.whole = whole
-        follower.turns = Turns(site.balancers, site.me, Random(self._config.seed))
+        follower.turns = Turns(site.balancers, site.me, Random(self._config.seed), site.drain_grace)
         return follower
 
     def reload(self, load_again: Callable[[], Config]) -> None:
--- a/eiderfield/net/turns.py
+++ b/eiderfield/net/turns.py
@@ -6,6 +6,10 @@
 has a turn of its own for its first call, and the waits after failures grow with the number of those who share
 the source and are drawn at random, so that those who failed together do not come back together.
 
+Both are bounded at any number of sharers, for the protocol counts what a dispatcher did not ask for as told.
+What the agent on its own machine holds counts at once, and a drain binds after a grace: all first calls
+lie within a share of that grace. What discovery has to tell counts after 6 s: no wait is longer than that.
+
 Knows no socket and no clock: it is asked for waits. All times are in milliseconds.
 """
 
@@ -13,22 +17,26 @@
 
 from random import Random
 
-TURN = 8.0  # between the first calls of two dispatchers: what a source may tell counts as told at once
+TURN = 8.0  # between the first calls of two dispatchers, where all of them fit into FIRST
+FIRST = 0.6  # share of a drain's grace within which all first calls lie; the rest is for the call itself
 WAIT = 100.0  # before the next call after a failure, for each sharer where there are more than FEW, doubled
 MOST = 1000.0  # up to this, or for each sharer up to MOST_EACH
 MOST_EACH = 400.0
+TOLD = 6000.0  # the longest wait: whatever discovery has to tell counts as told after so long (protocol page)
 FEW = 8  # who may call together: forty calls at once left a source that serves eight a second far behind
 LEAST = 0.25  # share of a wait that is always kept; the rest is drawn
 
 
 class Turns:
-    """The waits of one dispatcher, the `number`-th of `sharers`."""
+    """The waits of one dispatcher, the `number`-th of `sharers`, where a drain binds after `grace` ms."""
 
-    def __init__(self, sharers: int = 1, number: int = 0, rng: Random | None = None) -> None:
+    def __init__(
+        self, sharers: int = 1, number: int = 0, rng: Random | None = None, grace: float = 500.0
+    ) -> None:
         crowd = sharers if sharers > FEW else 1
-        self.most = max(MOST, MOST_EACH * crowd)  # the longest wait that `next` gives
-        self._least = self._wait = WAIT * crowd
-        self._first = TURN * number
+        self.most = min(TOLD, max(MOST, MOST_EACH * crowd))  # the longest wait that `next` gives
+        self._least = self._wait = min(self.most, WAIT * crowd)
+        self._first = min(TURN, FIRST * grace / max(1, sharers)) * number
         self._rng = rng or Random(number)
 
     def first(self, knows: bool) -> float:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,7 +8,7 @@
 from desk import Desk
 
 from eiderfield.net.routing import Following, Watcher
-from eiderfield.net.turns import FEW, LEAST, MOST, MOST_EACH, TURN, WAIT, Turns
+from eiderfield.net.turns import FEW, FIRST, LEAST, MOST, TOLD, TURN, WAIT, Turns
 
 SERVICE = 125.0  # ms of the source's time that a call takes
 PATIENCE = 2000.0  # ms that a call waits in line; one that has waited longer fails, its place used up
@@ -51,6 +51,17 @@
     assert Turns().first(True) == Turns(4, 3).first(False) == 0.0
 
 
+@pytest.mark.parametrize("sharers", [4, 40, 200, 1000])
+def test_no_number_of_sharers_makes_a_first_call_or_a_wait_longer_than_what_counts_as_told(sharers):
+    """The 150th of 214 that restarted called 1.2 s after its start: a drain that its agent held all that time
+    bound after 0.5 s, and three requests went to drained workers 0.59 s after. Waits grew to 80 s at 200."""
+    all_ = [Turns(sharers, number, Random(number), grace=500.0) for number in range(sharers)]
+    firsts = [turns.first(True) for turns in all_]
+    assert max(firsts) <= FIRST * 500.0 and len(set(firsts)) == sharers
+    assert max(turns.next() for turns in all_ for _ in range(8)) <= TOLD
+    assert Turns(sharers, sharers - 1, grace=0.0).first(True) == 0.0
+
+
 def test_few_dispatchers_wait_as_short_as_ever():
     waits = [Turns(FEW, 0, Random(1)).next() for _ in range(3)]
     assert all(LEAST * WAIT <= wait <= WAIT for wait in waits)
@@ -61,7 +72,7 @@
 def test_waits_are_bounded_grow_with_failures_and_begin_anew_after_an_answer():
     turns = Turns(40, 0, Random(2))
     waits = [turns.next() for _ in range(30)]
-    assert max(waits[:1]) <= WAIT * 40 and max(waits) <= turns.most == MOST_EACH * 40
+    assert max(waits[:1]) <= WAIT * 40 and max(waits) <= turns.most == TOLD
     assert min(waits[4:]) >= LEAST * turns.most and len(set(waits)) == 30
     turns.heard()
     assert turns.next() <= WAIT * 40
@@ -79,7 +90,7 @@
 
 def test_a_dispatcher_that_holds_a_list_waits_for_its_turn_and_one_without_does_not():
     desk = follow(7, 3)
-    desk.advance(7 * TURN - 6.0)
+    desk.advance(7 * min(TURN, FIRST * 500.0 / 40) - 6.0)
     assert not desk.dials
     desk.advance(10.0)
     assert len(desk.dials) == 1
