--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -288,7 +288,6 @@
         # Work served in a ms, averaged, and until when; until when jobs wait for probes; the timer, 0: none.
         self._served_rate = self._served_at = self._probing = self._wake = 0.0
         self._each, self._each_at = 0.0, -INF  # work a warm worker serves for this node in a ms; when
-        self._had = (0.0, 0.0)  # warm workers before the list last changed; when
         self._slots = defaultdict[int, float](lambda: 2.0)  # most slots seen at a worker of each kind
         self._least = self._silence_at = INF  # the least work of a job; no worker becomes suspect before
         self._keys: Counter[int] = Counter()  # jobs of each key so far
@@ -469,7 +468,7 @@
         attempt.worker.alive(now, not late)
         job.lane.pacer.learn(event.elapsed if attempt.started is None else now - attempt.started, job.hint)
         self._fade(now)
-        self._served_rate += job.cost / QUIET_RATE * (not self._cold(attempt.worker, now))
+        self._served_rate += job.cost / QUIET_RATE
 
     def _fade(self, now: float) -> None:
         self._served_rate *= max(0.0, 1.0 - (now - self._served_at) / QUIET_RATE)
@@ -533,7 +532,6 @@
         """Subsetting: with many nodes each keeps to its part of the fleet: of more it would learn too little,
         and looking through all costs too much CPU. Keys have homes instead, the same for all nodes."""
         nodes, site = self._set.balancers, self._set
-        self._had = (self._warm(self._now), self._now)
         groups = round(nodes / (TELLERS if self._set.may_tell else SHARERS))
         groups = 1 if self._keyed else max(1, min(groups, len(self._listed) // SUBSET))
         group, self._sharers = self._set.me * groups // nodes, nodes / groups
@@ -761,12 +759,12 @@
 
     def _homes(self, job: Job, now: float) -> list[Worker]:
         """The free ones of a key's homes: as many as its share of this node's traffic needs (incident
-        ia7713c), and one for each wait in vain, in the key's own order (rendezvous hashing) at every node."""
+        ia7713c), first in the key's own order (rendezvous hashing), the same at every node."""
         key, ring = job.key, self._rings.get(job.key)
         if ring is None:
             ring = self._rings[key] = sorted(self._listed, key=lambda w: mix(key, w.entry.worker))
         share = (self._keys[key] - 1) / max(1, self._keyed - 1)  # without itself: few are hot at first
-        most = max(HOMES, ceil(HOME_ROOM[self._many] * share * len(ring))) + self._many * len(job.attempts)
+        most = max(HOMES, ceil(HOME_ROOM[self._many] * share * len(ring)))
         homes = [w for w in ring if self._legal(job, w, now) and self._open_home(w, job, now)]  # in its group
         # A cold home takes nobody's place: its budget could let nothing through (incident ia7713c).
         warm = [place for place, w in enumerate(homes, 1) if not self._cold(w, now)]
@@ -792,21 +790,21 @@
     def _cold(self, worker: Worker, now: float) -> bool:
         return worker.entry.ready_at > 0.0 and max(0.0, now - worker.entry.ready_at) < self._set.cold
 
-    def _warm(self, now: float) -> float:
-        """How many warm workers served what is remembered as served: those before the list last changed fade
-        as that does, or few would be taken to have done it all; and half the part at least."""
-        before = self._had[0] * max(0.0, 1.0 - (now - self._had[1]) / QUIET_RATE)
-        return max(before, sum([not self._cold(w, now) for w in self._mine]), len(self._mine) / 2.0)
+    def _share(self, worker: Worker, now: float) -> float:
+        """The part of its capacity that a worker has at the least: it rises evenly over the warm-up."""
+        warmed = max(0.0, now - worker.entry.ready_at) / self._set.cold if self._cold(worker, now) else 1.0
+        return self._set.cold_share + (1.0 - self._set.cold_share) * warmed
 
     def _cold_left(self, worker: Worker, now: float) -> float:
         """Rule 4: the work a cold worker may still be sent, from what each warm one serves for this node."""
         if not self._cold(worker, now):
             return INF
         if now >= self._each_at + LOOK_AGAIN:
-            self._each, self._each_at = self._served_rate / max(1.0, self._warm(now)), now
-        share = self._set.cold_share
-        share += (1.0 - share) * max(0.0, now - worker.entry.ready_at) / self._set.cold
-        allowed = COLD_MARGIN[self._many] * self._set.fall_multiple * share * self._each * self._set.fall
+            # Cold ones served a part; half at least, or few warm ones would allow many cold ones too much.
+            whole = max(sum([self._share(w, now) for w in self._mine]), len(self._mine) / 2.0)
+            self._each, self._each_at = self._served_rate / max(1.0, whole), now
+        allowed = COLD_MARGIN[self._many] * self._set.fall_multiple * self._each * self._set.fall
+        allowed *= self._share(worker, now)
         while worker.recent and worker.recent[0][0] <= now - self._set.fall:
             worker.recent.popleft()
         if self._many:  # parts of a job, rounded, starve it or push it over: lots, evenly spread, decide
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,6 +22,7 @@
     fleet.run(14_000.0)
     worst = max(fleet.worst(worker, 14_000.0) for worker in cold)
     assert not fleet.broken, fleet.broken[:3]
+    print(nodes, workers, part, round(worst, 2))
     assert worst <= 1.0
     assert fleet.sent_to(cold, 0.0) > 20 * new, "and they are not starved"
 
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -444,18 +444,3 @@
     assert jobs[first].timely - jobs[again].timely == pytest.approx(600.0)
     short, _ = node.arrive(due=4400.0)  # no repeat: only less patient
     assert jobs[short].timely == jobs[first].timely
-
-
-def test_each_wait_in_vain_adds_a_home_of_the_key():
-    """join+mass: to most nodes the hottest key seemed rare; 29% of its legs went to its first two homes
-    of forty, where jobs went to and fro between two queues until they were late."""
-    node, id_, first = waiting(FULL, workers=40)
-    node.dispatcher._keyed = 1000  # beside which the key is rare
-    went = [first]
-    for number in range(3):
-        node.dispatcher._queued = 0.0
-        assert cancels(node.play(Due(0), at=node.now + STUCK_MANY * SAFE.aim * 2.0**number + 2.0))
-        [again] = sends(node.end(id_, number, went[-1], Outcome.CANCELLED))
-        went.append(again.worker)
-    ring = sorted(range(1, 41), key=lambda worker: mix(7, worker))
-    assert set(went[:2]) <= set(ring[:3]) and set(went) == set(ring[:4])
