--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -447,7 +447,7 @@
 
 
 def test_few_nodes_count_a_key_with_the_job_itself():
-    """Without it, overloaded days of four nodes lost 0.07: in the first seconds all jobs went to two homes."""
+    """Without it, an overloaded day of four nodes fell from 0.84 to 0.77 in the simulator."""
     homes = []
     for balancers in (MANY, MANY + 1):
         node = Node(replace(FULL, balancers=balancers), workers=12)
