Use workers that fail at once behind the others, and send large jobs where they fit

A count per worker at each pump showed what held them back: 28 to 38% of workers "unusable" (three silent, and up to six that fail 38 to 81% of their jobs at once and were rested), 57 to 64% with one own job waiting unstarted, none free. A second count: jobs of 4 slots waited 454 to 612 ms before a worker, those of one slot 94 to 234 ms behind them, with 40 to 54 slots busy of some 60.

At fault: `_ended` rested whoever failed two in a row, though a failure there costs nearly nothing and half of the answers are good; `_may_help` charged the whole repeat for a failure after 2 ms; `Arrived.slots` was never read, so a job of 4 slots went to the head of a queue and kept three slots empty until the fourth came free.

Now such a worker comes behind all others, for jobs that may run twice; a failure costs the retry budget what it ran; a job of several slots goes where its slots are free (an empty worker takes any, and one that would be late may wait); where one dispatcher sees all and reports tell of slots, none waits unseen. Peers are told slots.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -1,7 +1,6 @@
 """Every decision of eiderfield: which job goes to which worker and when, and which is refused.
 
-The types, events and actions are in `eiderfield/interface.py`, the reasons in `docs/design.md`.
-The Dispatcher reads no clock and does no I/O. Times are milliseconds."""
+Types, events, actions: `eiderfield/interface.py`; reasons: `docs/design.md`. No clock, no I/O; times: ms."""
 
 from __future__ import annotations
 
@@ -21,7 +20,6 @@
 )
 
 
-# Flow control (design steps 2, 4 and 5).
 WINDOW = 1000.0  # ms, the document's delta-T: a few answers of each class, yet shorter than a burst
 RAISE = 1.25  # factor on a cut rate after a window without 'full'
 FLOOR_TOP = 0.7  # the highest-worth class keeps this share of its uncut rate
@@ -32,7 +30,6 @@
 
 GRB_WAIT = 4.0  # the GRB is full when what is held would wait so many times the newest job's slack
 
-# Readiness.
 SPARE = 1  # jobs above its slots that all nodes together should keep at a worker that doesn't tell starts
 SHARERS = 4  # nodes that send to one worker where there are many: of more, each sees too little of it
 TELLERS = 9  # the same where nodes tell each other their jobs: more would be too many messages
@@ -98,6 +95,7 @@
     cost: float  # expected work, for the cold budget
     run: float  # expected running time
     timely: float  # when it must be sent at the latest to be worth anything
+    slots: float = 1.0  # that it takes while it runs
     attempts: list[Attempt] = field(default_factory=list)
     queue: OrderedDict[int, Job] | None = None
     answered: bool = False
@@ -129,8 +127,8 @@
 
 def may_refuse(job: Job) -> bool:
     """Rule 2 for a refusal, which tells the client that it may safely come again."""
-    keyed_for_all = job.cls.effect == Effect.KEYED and job.cls.scope == Scope.ALL
-    return job.cls.effect == Effect.SAFE or keyed_for_all or job.first_run() is None
+    keyed = job.cls.effect == Effect.KEYED and job.cls.scope == Scope.ALL
+    return keyed or job.cls.effect == Effect.SAFE or job.first_run() is None
 
 
 @dataclass(slots=True, eq=False)
@@ -140,6 +138,7 @@
     entry: Entry
     open: dict[tuple[int, int], Attempt] = field(default_factory=dict)  # own attempts out, oldest first
     unstarted: int = 0
+    taken: float = 0.0  # slots of own attempts out
     beside: int = 0  # attempts that this node's other process has out here, while it is upgraded
     heard: float = 0.0
     full_until: float = 0.0
@@ -152,6 +151,7 @@
     resets: int = 0  # in a row, without a sign of life between
     suspect_until: float = 0.0
     silent: bool = False
+    erring: bool = False  # it fails jobs at once, and others well: for what may run twice, behind all others
     recent: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=64))  # cold: time, work
     cold_left: float = INF
     ticket: float = 1.0  # cold: the share of a job's cost that must be left of the budget
@@ -162,15 +162,15 @@
     others: int = 0  # their sum
     others_until: float = 0.0
 
-    def total(self, now: float) -> int:
-        """The jobs that this node and, as far as they told, its peers hold here."""
-        return len(self.open) + self.beside + (self.others if now < self.others_until else 0)
+    def total(self, now: float) -> float:
+        """The slots that the jobs of this node and, as far as they told, of its peers take or wait for."""
+        return self.taken + self.beside + (self.others if now < self.others_until else 0)
 
     def alive(self, now: float, well: bool = False) -> None:
         """A sign of life ends silence. Only a timely answer ends suspicion, or a slow worker never rests."""
         self.heard, self.silent, self.resets = now, False, 0
         if well and self.faults <= FAULTY:
-            self.strikes, self.suspect_until = 0, 0.0
+            self.strikes, self.suspect_until, self.erring = 0, 0.0, False
 
     def learn(self, now: float, ran: float, done: bool) -> None:
         """Takes in that a job which had started is over, after so many usual running times."""
@@ -183,9 +183,9 @@
         out = sum([(now - a.started) / a.job.run for a in self.open.values() if a.started is not None])
         return (PACE_JOBS + self.ran * kept + out) / (PACE_JOBS + self.done * kept)
 
-    def strike(self, now: float) -> None:
-        """A failed connection, a reset or silence: no sends for a while, then one trial (half-open)."""
-        self.strikes += 1
+    def strike(self, now: float, erring: bool = False) -> None:
+        """A failed connection, a reset, silence, errors: no sends for a while, then one trial (half-open)."""
+        self.strikes, self.erring = self.strikes + 1, erring
         self.suspect_until = now + min(STRIKE_PAUSE_MOST, STRIKE_PAUSE * 2.0 ** (self.strikes - 1))
 
 
@@ -214,8 +214,7 @@
 
     def count_send(self, now: float) -> None:
         """Counts a send and, while paced, sets when the next may follow."""
-        self.sent += 1
-        self.accepted += 1
+        self.sent, self.accepted = self.sent + 1, self.accepted + 1
         if self.rate is not None:
             self.next_at = max(now, self.next_at) + 1000.0 / self.rate
 
@@ -227,8 +226,8 @@
         if sent and accepted < sent:
             if self.rate is None:
                 self.rate = self.uncut = sent
-            share = self.rate / sent
-            self.rate = max(self.rate + share * (accepted - sent), self.floor_share * self.uncut, 0.5)
+            rate = self.rate + self.rate / sent * (accepted - sent)
+            self.rate = max(rate, self.floor_share * self.uncut, 0.5)
         elif self.rate is not None:
             self.rate *= RAISE
             if self.rate >= self.uncut and not waiting:
@@ -262,15 +261,12 @@
         if not settings.classes:
             raise ValueError("settings.classes is empty")
         self._set, self._rng, self._now = settings, random.Random(seed), 0.0
-        self._workers: dict[int, Worker] = {}
-        self._listed: list[Worker] = []
-        self._mine: list[Worker] = []  # those of them that this node sends to
-        self._rings: dict[int, list[Worker]] = {}
-        self._jobs: dict[int, Job] = {}
+        self._workers, self._jobs = dict[int, Worker](), dict[int, Job]()
+        self._listed, self._mine, self._rings = list[Worker](), list[Worker](), dict[int, list[Worker]]()
         self._late_attempts: dict[tuple[int, int], Attempt] = {}  # of answered jobs: still out at a worker
         floors = {max(c.worth for c in settings.classes): FLOOR_TOP}
         self._pacers = [Pacer(floors.get(c.worth, FLOOR_REST), 0.5 * c.aim) for c in settings.classes]
-        self._safe_known = any(c.effect == Effect.SAFE for c in settings.classes)
+        self._trials = min(c.effect for c in settings.classes)  # sent first to whom little is known of
         self._lanes = {
             (number, tenant, over): Lane(c, p, c.worth * (settings.over_share_worth if over else 1.0))
             for number, (c, p) in enumerate(zip(settings.classes, self._pacers, strict=True))
@@ -292,12 +288,11 @@
         self._least = self._silence_at = INF  # the least work of a job; no worker becomes suspect before
         self._keys: Counter[int] = Counter()  # jobs of each key so far
         self._retry_tokens, self._queued = BURST, 0.0  # repeats saved up; mean wait of jobs to start, in ms
-        self._peers: list[int] = []  # nodes that share this node's workers, where they may talk
-        self._changed: dict[int, Worker] = {}  # workers at which own jobs came or went in this call
+        self._peers = list[int]()  # nodes that share this node's workers, where they may talk
+        self._changed = dict[int, Worker]()  # workers at which own jobs came or went in this call
         self._many, self._sharers = settings.balancers > MANY, float(settings.balancers)  # at one worker
-        self._probes = self._doubt = self._watching = False
-        self._deadlines: list[tuple[float, int]] = []
-        self._actions: list[Action] = []
+        self._probes = self._sees = self._doubt = self._watching = False
+        self._deadlines, self._actions = list[tuple[float, int]](), list[Action]()
         self._takers: dict[type, Callable[[Any, float], None]] = {
             Ended: self._ended, Noted: self._noted, Arrived: self._arrived, Due: self._due,
             Listed: self._list, ClientGone: self._gone, Flowing: self._flowing, PeerSaid: self._told,
@@ -363,8 +358,8 @@
         self._wake *= event.token != self._token  # only the latest timer counts
 
     def _gone(self, event: ClientGone, now: float) -> None:
-        if event.id in self._jobs:
-            self._finish(self._jobs[event.id])
+        if (job := self._jobs.get(event.id)) is not None:
+            self._finish(job)
 
     def _flowing(self, event: Flowing, now: float) -> None:
         if (job := self._jobs.get(event.id)) is not None:
@@ -382,7 +377,8 @@
         age = lane.pacer.patience - left if event.flags & REPEAT else 0.0
         slack = min(lane.cls.aim + lane.cls.stretch * (event.work or run) - age, left) - run
         timely = INF if lane.cls.late_worth else now + slack
-        job = Job(event.id, event.key, event.due, event.work, lane, lane.cls, event.work or run, run, timely)
+        rest = (event.work or run, run, timely, event.slots or 1.0)
+        job = Job(event.id, event.key, event.due, event.work, lane, lane.cls, *rest)
         self._least = min(self._least, job.cost)
         if job.key:
             self._keys[job.key] += 1
@@ -411,9 +407,9 @@
         return tokens < 1.0
 
     def _find(self, id_: int, number: int) -> tuple[Job | None, Attempt | None]:
-        if (job := self._jobs.get(id_)) is None:
-            return None, self._late_attempts.get((id_, number))
-        return job, job.attempts[number] if number < len(job.attempts) else None
+        job = self._jobs.get(id_)
+        tries = job.attempts if job is not None else []
+        return job, tries[number] if number < len(tries) else self._late_attempts.get((id_, number))
 
     def _ended(self, event: Ended, now: float) -> None:
         job, attempt = self._find(event.id, event.attempt)
@@ -432,7 +428,7 @@
         elif outcome == Outcome.FULL:
             worker.alive(now)
             worker.fulls += 1
-            worker.full_until = now + LOOK_AGAIN * 2.0 ** min(worker.fulls - 1, 1)
+            worker.full_until = now + LOOK_AGAIN * min(worker.fulls, 2)
             # No sign: a draining worker's hand-backs, nor one worker's word while others are free.
             if worker.entry.state == State.READY and not any(self._free(w, now) for w in self._mine):
                 attempt.job.lane.pacer.accepted -= 1
@@ -446,7 +442,7 @@
         elif outcome == Outcome.ERROR:
             worker.alive(now)
             if worker.faults > FAULTY:  # who fails its jobs at once holds fewest and would draw all others in
-                worker.strike(now)
+                worker.strike(now, erring=self._trials != Effect.UNSAFE)
         elif outcome == Outcome.CANCELLED and attempt.started is None:
             self._queued += QUEUED * (now - attempt.sent - self._queued)
             worker.full_until = now + 2.0 * LOOK_AGAIN  # where one has waited too long the next would too
@@ -455,12 +451,12 @@
         elif event.final:
             self._finish(job)
         elif not job.out() and job.queue is None:
-            self._hold(job) if self._may_help(job, now) else self._answer(job)
+            self._hold(job) if self._may_help(job, now, outcome == Outcome.ERROR) else self._answer(job)
 
     def _report(self, worker: Worker | None, load: tuple[float, ...], now: float) -> None:
         if worker is not None and load and self._free_slots >= 0:
-            worker.slots_free, worker.reported = round(load[self._free_slots]), now
-            self._slots[worker.entry.kind] = max(self._slots[worker.entry.kind], worker.slots_free)
+            worker.slots_free, worker.reported, kind = round(load[self._free_slots]), now, worker.entry.kind
+            self._slots[kind] = max(self._slots[kind], worker.slots_free)
 
     def _served(self, attempt: Attempt, event: Ended, now: float) -> None:
         job = attempt.job
@@ -484,7 +480,8 @@
             attempt.started, worker.fulls = now, 0
             worker.unstarted -= 1
             self._queued += QUEUED * (now - attempt.sent - self._queued)
-            taken, kind = float(len(worker.open) - worker.unstarted), worker.entry.kind
+            taken = sum([a.job.slots for a in worker.open.values() if a.started is not None])
+            kind = worker.entry.kind
             self._slots[kind] = max(self._slots[kind], taken)
             # One waiting job of each node is a long queue (incident i1da742): after a wait others come first.
             pause = (now - attempt.sent) * min(PAUSES, self._sharers / self._slots[kind] - 1.0)
@@ -504,7 +501,7 @@
 
     def _tell(self) -> None:
         """Tells the peers how many jobs this node has where that changed (cooperation)."""
-        data = pack_counts([(id_, len(worker.open)) for id_, worker in self._changed.items()])
+        data = pack_counts([(id_, round(worker.taken)) for id_, worker in self._changed.items()])
         self._actions += [Tell(peer, data) for peer in self._peers if data]
         self._changed.clear()
 
@@ -529,15 +526,15 @@
             self._deal()
 
     def _deal(self) -> None:
-        """Subsetting: with many nodes each keeps to its part of the fleet: of more it would learn too little,
-        and looking through all costs too much CPU. Keys have homes instead, the same for all nodes."""
-        nodes, site = self._set.balancers, self._set
-        groups = round(nodes / (TELLERS if self._set.may_tell else SHARERS))
+        """Subsetting: each of many nodes keeps to a part of the fleet, or learns too little. Keys: homes."""
+        site, nodes = self._set, self._set.balancers
+        groups = round(nodes / (TELLERS if site.may_tell else SHARERS))
         groups = 1 if self._keyed else max(1, min(groups, len(self._listed) // SUBSET))
         group, self._sharers = self._set.me * groups // nodes, nodes / groups
         order = sorted(self._listed, key=lambda w: (w.entry.zone, w.entry.kind, w.entry.worker))
         self._mine = order[group::groups]
         # Where starts are not told, reports show whether slots are taken; few nodes see enough by themselves.
+        self._sees = nodes == 1 and self._free_slots >= 0
         self._probes = site.may_probe and not (site.tells_start or groups == 1 or self._free_slots < 0)
         talkers = range(nodes if site.may_tell and self._sharers < 2 * TELLERS else 0)
         self._peers = [n for n in talkers if n * groups // nodes == group and n != site.me]
@@ -546,7 +543,7 @@
 
     def _close(self, attempt: Attempt, now: float) -> None:
         worker, attempt.open = attempt.worker, False
-        self._out -= 1
+        self._out, worker.taken = self._out - 1, worker.taken - attempt.job.slots
         worker.open.pop((attempt.job.id, attempt.number), None)
         worker.unstarted -= attempt.started is None
         self._changed[worker.entry.worker] = worker
@@ -565,8 +562,7 @@
     def _finish(self, job: Job) -> None:
         """Forgets a job that is over. What is still out is called off, which frees workers that heed it."""
         job.answered = True
-        self._unqueue(job)
-        del self._jobs[job.id]
+        self._unqueue(self._jobs.pop(job.id))
         for attempt in [a for a in job.attempts if a.open]:
             self._late_attempts[(job.id, attempt.number)] = attempt
             if self._set.may_cancel:
@@ -581,13 +577,15 @@
     def _legal(self, job: Job, worker: Worker, now: float) -> bool:
         return may_resend(job, worker, now, self._set.may_copy, self._set.max_attempts)
 
-    def _may_help(self, job: Job, now: float) -> bool:
-        """Whether a further attempt is allowed and, where the job may run twice, within the retry budget."""
-        ran = [a for a in job.attempts if a.may_have_run]  # called off unstarted, a job costs no work twice
-        twice = any(a.started is not None or not self._set.tells_start for a in ran)
-        legal = any(self._legal(job, w, now) for w in self._listed)
-        helped = legal and not job.answered and not (twice and self._retry_tokens < 1.0)
-        self._retry_tokens -= helped and twice
+    def _may_help(self, job: Job, now: float, failed: bool = False) -> bool:
+        """Whether a further attempt is allowed, and in the retry budget what the last one may have cost."""
+        last = job.attempts[-1]  # called off unstarted it cost nothing, and once failed only until then
+        spent = float(last.may_have_run and (last.started is not None or not self._set.tells_start))
+        if failed and last.started is not None:
+            spent = min(spent, (now - last.started) / job.run)
+        helped = not job.answered and self._retry_tokens >= spent
+        helped = helped and any(self._legal(job, w, now) for w in self._listed)
+        self._retry_tokens -= helped and spent
         return helped
 
     def _hold(self, job: Job) -> None:
@@ -647,8 +645,7 @@
         soon = self._soon(attempt.job)
         if not self._many or not self._set.tells_start:
             return attempt.sent + STUCK_RUNS / STUCK_MANY * soon if self._set.tells_start else INF
-        # Where all queues are long, leaving one only loses the place in it and the data fetched for it. Each
-        # wait is twice the last, or a job would spend its attempts on queues.
+        # Each wait is twice the last. Where all queues are long, leaving one loses the place and the data.
         at = attempt.sent + max(soon, self._queued) * 2.0**attempt.number
         return min(at, max(attempt.job.timely, attempt.sent + soon)) if self._queued > soon else at
 
@@ -713,7 +710,7 @@
                     self._send(job, picked, now)
                     if picked in free and not self._free(picked, now):
                         free.remove(picked)
-                elif not job.key and not job.attempts:
+                elif not job.key and not job.attempts and job.slots <= 1.0:
                     break  # the next of this buffer would hardly find one either
 
     def _shown(self, worker: Worker, now: float) -> float:
@@ -722,11 +719,11 @@
 
     def _usable(self, worker: Worker, now: float) -> bool:
         """Whether the worker is neither silent nor, after a strike, left alone."""
-        return now >= worker.suspect_until if not worker.silent else self._doubt
+        return now >= worker.suspect_until or worker.erring if not worker.silent else self._doubt
 
     def _free(self, worker: Worker, now: float) -> bool:
         """Whether the worker can take one more own job now."""
-        trial = bool(worker.strikes and worker.open)  # half-open: one at a time
+        trial = worker.strikes and worker.open and not worker.erring  # half-open: one at a time
         if now < worker.full_until or trial or not self._usable(worker, now):
             return False
         most = self._slots[worker.entry.kind] + SPARE
@@ -743,23 +740,21 @@
         pool = self._homes(job, now) if job.key else free
         if not job.key and job.first_run() is not None:  # its group may have no worker in this node's part
             pool = [w for w in self._listed if self._legal(job, w, now) and self._free(w, now)]
-        ready = [(self._rank(w, now), w) for w in pool if self._ready(w, job, now)]
+        ready = [(self._rank(w, job, now), w) for w in pool if self._ready(w, job, now)]
         lowest = min([rank for rank, _ in ready], default=None)
         return self._rng.choice([w for rank, w in ready if rank == lowest]) if ready else None
 
-    def _rank(self, worker: Worker, now: float) -> tuple[float, bool, int]:
+    def _rank(self, worker: Worker, job: Job, now: float) -> tuple[float, bool, int]:
         """Own jobs, and before them what makes a worker ready only while no better one is."""
-        tier = -self._shown(worker, now)
-        if self._peers and worker.total(now) >= self._slots[worker.entry.kind]:
-            tier = 1.0
+        tight = (self._peers or job.slots > 1.0) and not self._fits(worker, job, now)
         pace = worker.pace(now) if self._set.tells_start else 1.0
-        tier += (pace > SLOW) - (self._many and worker.cold_left < INF)  # a lot that is drawn is used at once
+        tier = (1.0 if tight else -self._shown(worker, now)) + 2.0 * worker.erring + (pace > SLOW)
+        tier -= self._many and worker.cold_left < INF  # a lot that is drawn is used at once
         load = (len(worker.open) + worker.beside + 1) * (pace if pace > SLOW else 1.0)
         return tier, self._set.cross_zone_price > 0.0 and worker.entry.zone != self._set.zone, ceil(load)
 
     def _homes(self, job: Job, now: float) -> list[Worker]:
-        """The free ones of a key's homes: as many as its share of this node's traffic needs (incident
-        ia7713c), first in the key's own order (rendezvous hashing), the same at every node."""
+        """The free ones of a key's homes, as many as its share needs (ia7713c), by rendezvous hashing."""
         key, ring = job.key, self._rings.get(job.key)
         if ring is None:
             ring = self._rings[key] = sorted(self._listed, key=lambda w: mix(key, w.entry.worker))
@@ -779,14 +774,22 @@
         return self._usable(worker, now) and not self._cold(worker, now + (1.0 - COLD_REST) * self._set.cold)
 
     def _trusted(self, worker: Worker, job: Job) -> bool:
-        return not worker.strikes or job.cls.effect == Effect.SAFE or not self._safe_known  # for trials
+        trials = max(self._trials, Effect.KEYED) if worker.erring else self._trials  # which can come back
+        return not worker.strikes or job.cls.effect <= trials
 
     def _ready(self, worker: Worker, job: Job, now: float) -> bool:
         """Whether this worker may take this job: its kind, rule 2's group, and rule 4's budget."""
         if not self._trusted(worker, job) or (job.cls.kind >= 0 and worker.entry.kind != job.cls.kind):
             return False
-        there = any(a.worker is worker and a.open for a in job.attempts)
-        return not there and job.cost * worker.ticket <= worker.cold_left and self._legal(job, worker, now)
+        # Who waits for several slots keeps free ones from others; where all is seen, none need wait there.
+        no = (job.slots > 1.0 or self._sees) and worker.total(now) and not self._fits(worker, job, now)
+        no = no or any(a.worker is worker and a.open for a in job.attempts)
+        return not no and job.cost * worker.ticket <= worker.cold_left and self._legal(job, worker, now)
+
+    def _fits(self, worker: Worker, job: Job, now: float) -> bool:
+        """Whether the worker has the slots that a job takes, as far as this node knows."""
+        room = self._slots[worker.entry.kind] - worker.total(now)
+        return job.slots <= room + SPARE * (self._free_slots < 0 or now >= job.timely)
 
     def _cold(self, worker: Worker, now: float) -> bool:
         return worker.entry.ready_at > 0.0 and max(0.0, now - worker.entry.ready_at) < self._set.cold
@@ -822,9 +825,8 @@
         attempt = Attempt(job, len(job.attempts), worker, worker.entry, now, now)
         job.attempts.append(attempt)
         worker.open[(job.id, attempt.number)] = attempt
-        worker.unstarted += 1
-        worker.slots_free -= 1.0
-        self._out += 1
+        worker.unstarted, self._out = worker.unstarted + 1, self._out + 1
+        worker.taken, worker.slots_free = worker.taken + job.slots, worker.slots_free - job.slots
         self._changed[worker.entry.worker] = worker
         if worker.cold_left < INF:
             worker.recent.append((now, job.cost))
--- /dev/null
+++ b/tests/test_errors_and_slots.py
@@ -0,0 +1,153 @@
+"""Workers that fail jobs at once, jobs of several slots, and what a repeat costs of the budget."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from conftest import BASE, KEYED, SAFE, UNSAFE, Node
+
+from eiderfield.interface import (
+    STARTED,
+    Ended,
+    Entry,
+    Listed,
+    ListKind,
+    Noted,
+    Outcome,
+    PeerSaid,
+    Send,
+    Tell,
+    pack_counts,
+)
+
+ONE = replace(BASE, balancers=1, report_fields=("inflight", "qps", "x0"))
+
+
+def sends(actions):
+    return [action for action in actions if isinstance(action, Send)]
+
+
+def failing(site, cls):
+    """A node whose worker 1 of two fails every job at once, until the module knows."""
+    node = Node(site, workers=2)
+    for _ in range(40):
+        actions = node.arrive(cls=cls)[1]
+        while found := sends(actions):
+            send, number = found[0], len(node.dispatcher._jobs[found[0].id].attempts) - 1
+            node.now += 1.0
+            node.play(Noted(send.id, number, send.worker, STARTED, 0.0))
+            node.now += 1.0
+            outcome = Outcome.ERROR if send.worker == 1 else Outcome.OK
+            actions = node.play(Ended(send.id, number, send.worker, outcome, 2.0, send.worker == 2))
+        if node.dispatcher._workers[1].strikes:
+            return node
+    raise AssertionError("the failing worker was never known for one")
+
+
+def test_a_worker_that_fails_at_once_is_used_only_while_no_other_is_free():
+    node = failing(BASE, 0)
+    _, first = node.arrive(cls=0)
+    assert [s.worker for s in sends(first)] == [2]
+    _, second = node.arrive(cls=0)
+    assert [s.worker for s in sends(second)] == [1], "its good answers are better than waiting"
+
+
+@pytest.mark.parametrize(("cls", "there"), [(0, True), (2, True), (1, False)])
+def test_what_must_never_run_twice_is_kept_from_a_worker_that_fails(cls, there):
+    node = failing(replace(BASE, classes=(SAFE, UNSAFE, KEYED)), 0)
+    assert [s.worker for s in sends(node.arrive(cls=cls)[1])] == [2]
+    assert bool(sends(node.arrive(cls=cls)[1])) is there
+
+
+def test_where_all_is_never_twice_the_worker_rests_and_is_tried_again():
+    node = failing(replace(BASE, classes=(UNSAFE,)), 0)
+    node.arrive()
+    assert not node.play() and not sends(node.arrive()[1])
+    assert sends(node.play(at=node.now + 4001.0)), "one trial once its pause is over"
+
+
+def test_a_refused_connection_puts_a_failing_worker_out_of_use():
+    node = failing(BASE, 0)
+    node.arrive(cls=0)
+    id_, actions = node.arrive(cls=0)
+    assert [s.worker for s in sends(actions)] == [1]
+    node.play(Ended(id_, 0, 1, Outcome.CONNECT_FAILED, 1.0, False))
+    assert 1 in node.dispatcher.snapshot(node.now).avoided
+
+
+@pytest.mark.parametrize(("ran", "again"), [(1.0, True), (600.0, False)])
+def test_a_failure_costs_the_budget_what_it_ran(ran, again):
+    node = Node(BASE)
+    id_, actions = node.arrive(cls=0)
+    worker = sends(actions)[0].worker
+    node.play(Noted(id_, 0, worker, STARTED, 0.0))
+    node.dispatcher._retry_tokens = 0.1
+    ended = node.play(Ended(id_, 0, worker, Outcome.ERROR, ran, False), at=node.now + ran)
+    assert bool(sends(ended)) is again
+
+
+def test_a_broken_connection_costs_a_whole_run_for_the_job_may_go_on():
+    node = Node(BASE)
+    id_, actions = node.arrive(cls=0)
+    worker = sends(actions)[0].worker
+    node.play(Noted(id_, 0, worker, STARTED, 0.0))
+    node.dispatcher._retry_tokens = 0.1
+    assert not sends(node.play(Ended(id_, 0, worker, Outcome.RESET, 1.0, False), at=node.now + 1.0))
+
+
+def house(site, slots=4.0, workers=2):
+    """A node whose workers of one kind are known to have so many slots."""
+    node = Node(site, workers=workers)
+    node.dispatcher._slots[0] = slots
+    return node
+
+
+def test_a_job_of_several_slots_waits_here_and_not_before_a_worker_that_lacks_them():
+    node = house(BASE, workers=1)
+    first, actions = node.arrive(cls=0, slots=2.0)
+    assert sends(actions), "an empty worker always takes one"
+    node.play(Noted(first, 0, 1, STARTED, 0.0))
+    assert not sends(node.arrive(cls=0, slots=4.0)[1])
+    small, actions = node.arrive(cls=0, slots=1.0)
+    assert [s.id for s in sends(actions)] == [small], "who fits passes the one that does not"
+    node.play(Noted(small, 0, 1, STARTED, 0.0))
+    node.play(Ended(small, 0, 1, Outcome.OK, 5.0, True), at=5.0)
+    assert [s.id for s in sends(node.play(Ended(first, 0, 1, Outcome.OK, 5.0, True)))] == [2]
+
+
+def test_a_large_job_does_not_starve_it_waits_at_a_worker_once_it_would_be_late():
+    node = house(replace(ONE, classes=(replace(SAFE, late_worth=0.0),)), slots=2.0, workers=1)
+    first, _ = node.arrive(cls=0)
+    node.play(Noted(first, 0, 1, STARTED, 0.0))
+    large, actions = node.arrive(cls=0, slots=2.0)
+    assert not sends(actions)
+    assert [s.id for s in sends(node.play(at=500.0))] == [large]
+
+
+def test_alone_and_with_reports_nothing_waits_unseen_at_a_worker():
+    node = house(ONE, slots=2.0, workers=1)
+    for expected in (True, True, False):
+        id_, actions = node.arrive(cls=0)
+        assert bool(sends(actions)) is expected
+        if expected:
+            node.play(Noted(id_, 0, 1, STARTED, 0.0))
+
+
+def test_without_reports_one_may_wait_there_or_more_slots_would_never_be_found():
+    node = house(replace(ONE, report_fields=()), slots=1.0, workers=1)
+    for expected in (True, True, False):  # the third finds the second waiting, and so the slots are known
+        assert bool(sends(node.arrive(cls=0)[1])) is expected
+        if expected:
+            node.play(Noted(1, 0, 1, STARTED, 0.0))
+
+
+def test_peers_are_told_slots_and_heed_them():
+    site = replace(BASE, balancers=2, may_tell=True)
+    told = [a for a in Node(site, workers=2).arrive(cls=0, slots=3.0)[1] if isinstance(a, Tell)]
+    assert told[0].data[-1] == 3
+    other = Node(replace(site, me=1), workers=1)
+    other.play(Listed(ListKind.DELTA, 2, (Entry(1),)))
+    other.dispatcher._slots[0] = 4.0
+    other.play(PeerSaid(0, pack_counts([(1, 3)])))
+    assert not sends(other.arrive(cls=0, slots=3.0)[1])
