Read tenants and load reports on sockets, and speak to peers by datagram

Lines at fault: `Exchange.submit` posted tenant 0 for all; `Line._line` read only state and result; `Exchange.turn` dropped every action without a taker.

Now X-Tenant is read by its name in the settings; a missing or unknown one has no share, so that it can't spend another's. Reports (`net/reports.py`) are read from the closing object, from X-Load and from a probe's body, and nothing in them is trusted; a worker that restarts owes nothing to its old reports or faults. In an upgrade the port passes to the next process, which tells the legs of both.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -33,6 +33,7 @@
 from eiderfield.net.link import Ear, reach
 from eiderfield.net.loop import Clock, Driver
 from eiderfield.net.memory import share_of
+from eiderfield.net.peers import Peers
 from eiderfield.net.routing import Follower, Following, RoutingTable, Watcher
 from eiderfield.net.turns import Turns
 from eiderfield.net.worker import WorkerSide
@@ -91,9 +92,15 @@
                 self.exchange, clock, config.name, b.jobs_most, b.finished_most, b.finished_age, b.bytes_most
             )
             self._doors.append((self._door(BatchFront(book), most), b.listen))
+        self._peers: Peers | None = None
+        if (p := config.peers) is not None:
+            me, said = config.site.me, self.exchange.peer_said
+            self._peers = Peers(loop, p.listen, p.peers, p.everyone, me, clock, said, log)
+            self.exchange.speaker = self._peers
         self._socket = state_path(config.listen, "sock")
         named = {f"{kind} {host}:{port}": door for kind, door, (host, port) in self._places()}
         self._handover = Handover(loop, self.exchange, self.table, self.workers, named, wheel, clock, log)
+        self._handover.peers = self._peers
         self._ear = Ear(loop, self._socket, self._handover.heard)
         self._handover.lost = self._listen_for_next
         self._settled = False  # whether the process before has handed over, or there is none
@@ -128,6 +135,8 @@
         for kind, door, address in self._places():
             if not door.listening:
                 self._open(kind, door, address, beside)
+        if self._peers is not None and self._peers.sock is None:
+            self._peers.open()
         self._listen_for_next()
         # The list may be that of the process before, whose discovery may have counted on its own.
         self._following.follow(self._follower(self._config.discovery, whole=link is not None))
@@ -147,6 +156,8 @@
 
     def _listen_for_next(self) -> None:
         """Lets the next process find this one."""
+        if self._peers is not None:  # whoever had taken the port over is gone
+            self._peers.rest(False)
         self._ear.close(unlink=False)
         try:
             self._ear.open()
@@ -166,6 +177,8 @@
             crowd["connections"].update(door.figures())
             if door.governor is not None:
                 crowd["admission"].update(door.governor.figures())
+        if self._peers is not None:
+            crowd["peers"] = self._peers.figures
         return {name: dict(figures) for name, figures in crowd.items()}
 
     def _follower(self, source: Discovery, whole: bool = False) -> Follower | None:
@@ -242,6 +255,8 @@
             self._following.stop()
             self.workers.close()
             self._console.close()
+            if self._peers is not None:
+                self._peers.close()
             self._ear.close(unlink=not self._handover.given)
             self._handover.close_all()
             self.ended.set()
--- a/eiderfield/config.py
+++ b/eiderfield/config.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 from eiderfield.crowd.settings import KEEP, PARK_AFTER, WHOLE, Admission, Idling, Marks, Pace, Quota
-from eiderfield.idmap import number_of
+from eiderfield.idmap import number_of, plain
 from eiderfield.interface import Settings
 from eiderfield.wire import parse_settings
 
@@ -42,6 +42,15 @@
     bytes_most: int
 
 
+@dataclass(frozen=True, slots=True)
+class PeerConfig:
+    """Where the dispatchers of the tier reach each other, in the order of their numbers (`settings.me`)."""
+
+    listen: Address
+    peers: tuple[Address, ...]
+    everyone: Address | None
+
+
 @dataclass(frozen=True, slots=True)
 class Discovery:
     """Where the routing table comes from: `platform`, `consul`, or `static` for the known list alone."""
@@ -73,6 +82,7 @@
     dial_timeout: float
     conn_idle: float
     batch: BatchConfig | None
+    peers: PeerConfig | None
     idling: Idling
     admission: Admission
 
@@ -181,8 +191,7 @@
 def _plain(value: object) -> str:
     if isinstance(value, bool):
         return "true" if value else "false"
-    # The wire writes _ for a space or a comma within a value; a line feed would begin another key.
-    return "" if value is None else str(value).translate({32: "_", 44: "_", 10: "_", 13: "_"})
+    return "" if value is None else plain(str(value))
 
 
 def site_of(settings: object) -> Settings:
@@ -249,6 +258,7 @@
     if discovery.kind == "static" and known is None:
         raise ConfigError("known is missing: with discovery.kind = \"static\" it is the routing table")
     batch = _batch(tree.table("batch"), memory_mb, strict)
+    peers = _peers(tree, site, strict)
     idling = _idling(tree.table("connections"), strict)
     admission = _admission(tree.table("admission"), strict)
     free = sockets - RESERVED - (CONSOLE if console is not None else 0)
@@ -273,6 +283,7 @@
         dial_timeout=policy.number("dial_timeout", 1000.0, 1.0),
         conn_idle=policy.number("conn_idle", 10_000.0, 1.0),
         batch=batch,
+        peers=peers,
         idling=idling,
         admission=admission,
     )
@@ -326,6 +337,24 @@
     return found
 
 
+def _peers(tree: Tree, site: Settings, strict: bool) -> PeerConfig | None:
+    if not (tree.has("peer_listen") or tree.has("peers") or tree.has("peers_all")):
+        return None
+    if not site.may_tell:  # the platform may name them where it forbids to use them
+        if strict:
+            raise ConfigError("peer_listen says nothing: settings.policy_limits.may_tell is not true")
+        return None
+    listen, raw = tree.address("peer_listen"), tree.raw("peers")
+    if not isinstance(raw, list) or not all(isinstance(text, str) for text in raw):
+        raise ConfigError("peers is not a list of host:port")
+    peers = tuple(address_of(text, f"peers.{number}") for number, text in enumerate(raw))
+    if len(peers) != site.balancers:
+        raise ConfigError(f"peers names {len(peers)} dispatchers, settings.balancers {site.balancers}")
+    if len(set(peers)) != len(peers):
+        raise ConfigError("peers names one address twice: nobody could tell who speaks")
+    return PeerConfig(listen, peers, tree.address("peers_all") if tree.has("peers_all") else None)
+
+
 def _idling(told: Tree, strict: bool) -> Idling:
     keep = told.number("keep_ms", KEEP, 1000.0, 86_400_000.0)
     park = told.flag("park", True)
--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -400,7 +400,7 @@
     def _over_share(self, tenant: int, repeat: bool, now: float) -> bool:
         """Whether a tenant is above this node's part of its share, which clients' repeats do not use."""
         if tenant >= len(self._shares):
-            return False
+            return bool(self._shares)  # who is not of the settings' tenants has no share
         rate, (at, tokens) = self._shares[tenant], self._credit[tenant]
         tokens = min(2.0 * rate, tokens + (now - at) * rate / 1000.0)
         self._credit[tenant] = (now, tokens if tokens < 1.0 or repeat else tokens - 1.0)
@@ -454,7 +454,7 @@
             self._hold(job) if self._may_help(job, now, outcome == Outcome.ERROR) else self._answer(job)
 
     def _report(self, worker: Worker | None, load: tuple[float, ...], now: float) -> None:
-        if worker is not None and load and self._free_slots >= 0:
+        if worker is not None and load and self._free_slots >= 0 and load[self._free_slots] >= 0.0:
             worker.slots_free, worker.reported, kind = round(load[self._free_slots]), now, worker.entry.kind
             self._slots[kind] = max(self._slots[kind], worker.slots_free)
 
@@ -496,12 +496,12 @@
 
     def _beside(self, event: Beside, now: float) -> None:
         if (worker := self._workers.get(event.worker)) is not None:
-            worker.beside = event.out
+            worker.beside, self._changed[event.worker] = event.out, worker
             worker.recent.append((now, event.work))
 
     def _tell(self) -> None:
         """Tells the peers how many jobs this node has where that changed (cooperation)."""
-        data = pack_counts([(id_, round(worker.taken)) for id_, worker in self._changed.items()])
+        data = pack_counts([(id_, round(w.taken) + w.beside) for id_, w in self._changed.items()])
         self._actions += [Tell(peer, data) for peer in self._peers if data]
         self._changed.clear()
 
@@ -510,11 +510,10 @@
             self._watching = False
             return
         for entry in event.entries:
-            worker = self._workers.get(entry.worker)
-            if worker is None:
-                worker = self._workers[entry.worker] = Worker(entry)
-            elif entry.ready_at != worker.entry.ready_at:
-                worker.alive(now, True)  # a new process under the old id owes nothing to the past
+            worker = self._workers.setdefault(entry.worker, Worker(entry))
+            if entry.ready_at != worker.entry.ready_at:
+                worker.faults, worker.reported = 0.0, -INF  # a new process owes nothing to the past
+                worker.alive(now, True)
             worker.entry = entry
         silent = self._workers.keys() - {entry.worker for entry in event.entries}
         for worker in [self._workers[id_] for id_ in silent if event.kind != ListKind.DELTA]:
--- a/eiderfield/exchange.py
+++ b/eiderfield/exchange.py
@@ -28,11 +28,13 @@
     Entry,
     Event,
     Fail,
+    Fetch,
     Listed,
     ListKind,
     Log,
     Noted,
     Outcome,
+    PeerSaid,
     Probe,
     Probed,
     Refuse,
@@ -41,6 +43,8 @@
     Settings,
     Snapshot,
     State,
+    Tell,
+    Watch,
 )
 
 
@@ -57,6 +61,7 @@
     idempotency_key: str = ""
     subject: int = 0
     repeat: bool = False
+    tenant: int = 0  # its place in the settings; beyond them where it is not one of these
     slots: float = 1.0
     memory: float = 0.0
 
@@ -118,6 +123,13 @@
         """Closes what connections to a worker carry nothing."""
 
 
+class Speaker(Protocol):
+    """Who carries words to the other dispatchers, where the settings allow it."""
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Sends bytes to one peer, or to all of them (-1); they may be lost."""
+
+
 class Witness(Protocol):
     """Who is told of what another process of the same dispatcher must know to keep the rules."""
 
@@ -177,6 +189,7 @@
         self._out: dict[tuple[int, int], Leg] = {}  # every leg that is out, also of answered jobs
         self._out_at: Counter[int] = Counter()  # how many of them at each worker
         self.witness: Witness | None = None
+        self.speaker: Speaker | None = None
         self._ids_beside: set[str] = set()  # those that the dispatcher's other process holds
         self._beside: set[int] = set()  # workers at which that process has legs out
         self._table: dict[int, State] = {}
@@ -191,6 +204,9 @@
             Probe: self._probe,
             CloseIdle: self._close_idle,
             Log: self._note,
+            Tell: self._tell,
+            Watch: self._follow,
+            Fetch: self._follow,
         }
 
     def attach(self, legs: Legs) -> None:
@@ -231,7 +247,7 @@
         # The module answers just before the time ends; this guards against one that does not.
         job.timer = self._timers.at(a.due + self.site.answer_slack, lambda: self._overdue(job))
         flags = REPEAT if a.repeat else 0
-        self._post(Arrived(job.id, a.cls, a.due, 0, a.subject, 0.0, a.slots, a.memory, flags))
+        self._post(Arrived(job.id, a.cls, a.due, a.tenant, a.subject, 0.0, a.slots, a.memory, flags))
         return job.id
 
     def withdraw(self, id_: int) -> Answer | None:
@@ -321,14 +337,14 @@
             leg.job.running = leg.job.running or what == STARTED
             self._post(Noted(leg.job.id, leg.number, leg.worker, what, share))
 
-    def served(self, leg: Leg, result: bytes) -> None:
-        """A worker gave the whole result: the first one is the final answer."""
+    def served(self, leg: Leg, result: bytes, load: tuple[float, ...] = ()) -> None:
+        """A worker gave the whole result: the first one is the final answer. `load` is its report, if any."""
         if not leg.open:
             return
         job = leg.job
         if not job.answered:
             self._finish(job, Answer(Verdict.SERVED, result, may_have_run=True, legs=len(job.legs)))
-        self.ended(leg, Outcome.OK)
+        self.ended(leg, Outcome.OK, load)
 
     def rejected(self, leg: Leg) -> None:
         """A worker said that the job itself is faulty: no other one could use it, and the worker is well."""
@@ -339,8 +355,8 @@
             self._finish(job, Answer(Verdict.REJECTED, may_have_run=may_have_run(job), legs=len(job.legs)))
         self.ended(leg, Outcome.ERROR)
 
-    def ended(self, leg: Leg, outcome: Outcome) -> None:
-        """A leg is over."""
+    def ended(self, leg: Leg, outcome: Outcome, load: tuple[float, ...] = ()) -> None:
+        """A leg is over. `load` is the report that came with its end, if any."""
         if not leg.open:
             return
         leg.open = False
@@ -352,12 +368,17 @@
         if leg.timer is not None:
             leg.timer.cancel()
         # The time that it took is filled in at the turn, which alone knows the clock.
-        self._post(Ended(leg.job.id, leg.number, leg.worker, outcome, leg.sent, leg.job.answered))
+        ended = Ended(leg.job.id, leg.number, leg.worker, outcome, leg.sent, leg.job.answered, 0, load)
+        self._post(ended)
 
     def probed(self, worker: int, outcome: Outcome, elapsed: float, load: tuple[float, ...] = ()) -> None:
         """A worker's answer to a probe."""
         self._post(Probed(worker, outcome, elapsed, load))
 
+    def peer_said(self, peer: int, data: bytes) -> None:
+        """Another dispatcher of the tier said something to this one."""
+        self._post(PeerSaid(peer, data))
+
     # The turn.
 
     def turn(self, now: float) -> None:
@@ -367,11 +388,8 @@
             if isinstance(event, Ended):
                 event.elapsed = now - event.elapsed
         for action in self._module.handle(now, events):
-            take = self._takers.get(type(action))
-            if take is None:  # what is left speaks of other nodes and of asking for the list
-                continue
             try:
-                take(action, now)
+                self._takers[type(action)](action, now)
             except Exception as error:  # a port that fails must not take the turn's other actions along
                 self._log(f"{type(action).__name__} failed: {error!r}")
 
@@ -436,6 +454,13 @@
     def _note(self, action: Log, now: float) -> None:
         self._log(action.text)
 
+    def _tell(self, action: Tell, now: float) -> None:
+        if self.speaker is not None:
+            self.speaker.tell(action.peer, action.data)
+
+    def _follow(self, action: Watch | Fetch, now: float) -> None:
+        """Nothing: on sockets the routing table is followed from the start, asked for or not."""
+
     # Ends.
 
     def _finish(self, job: Job, answer: Answer | None = None) -> None:
--- a/eiderfield/idmap.py
+++ b/eiderfield/idmap.py
@@ -19,6 +19,11 @@
     return int.from_bytes(digest, "big") or 1
 
 
+def plain(name: str) -> str:
+    """A name as the settings write it: with _ for a space, a comma and what would end a line."""
+    return name.translate({32: "_", 44: "_", 10: "_", 13: "_"})
+
+
 _HEX = frozenset("0123456789abcdef")
 
 
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -24,7 +24,7 @@
 from eiderfield.crowd.lot import Lot, Woken, unread
 from eiderfield.crowd.settings import WHOLE, Admission, Idling
 from eiderfield.exchange import Answer, Authorisation, Exchange, Timer, Timers, Verdict
-from eiderfield.idmap import IdMap
+from eiderfield.idmap import IdMap, plain
 from eiderfield.interface import Effect
 from eiderfield.net.http import Head, Malformed, Parser, answer_bytes
 
@@ -862,6 +862,7 @@
         self._ids = ids
         self._clock = clock
         self._classes = {cls.name: number for number, cls in enumerate(exchange.site.classes)}
+        self._tenants = {tenant.name: number for number, tenant in enumerate(exchange.site.tenants)}
 
     def message(self, door: Door, acquirer: Acquirer, head: Head, body: bytes) -> Callable[[], None] | None:
         """Takes an authorisation, or says whether this dispatcher is ready."""
@@ -921,6 +922,7 @@
             idempotency_key=head.get("idempotency-key"),
             subject=self._ids.subject(parts[-1]) if parts else 0,
             repeat=head.get("x-retry") == "1",
+            tenant=self._tenants.get(plain(head.get("x-tenant")), len(self._tenants)),
             slots=extras.get("slots", 1.0),
             memory=extras.get("memory", 0.0),
         )
--- a/eiderfield/net/handover.py
+++ b/eiderfield/net/handover.py
@@ -24,6 +24,7 @@
 from eiderfield.exchange import Exchange, Timer, Timers
 from eiderfield.net.acquirer import Door, Given, Letting
 from eiderfield.net.link import Link, close_all
+from eiderfield.net.peers import Peers
 from eiderfield.net.routing import RoutingTable
 from eiderfield.net.worker import WorkerSide
 
@@ -50,6 +51,7 @@
         self._timers = timers
         self._clock = clock
         self._log = log
+        self.peers: Peers | None = None  # the port to the other dispatchers, which passes on too
         self._link: Link | None = None
         self._next: tuple[Link, list[dict[str, Any]]] | None = None  # who waits, and what it said
         self._done: Callable[[], None] = lambda: None
@@ -78,7 +80,7 @@
         self._done = done
         self._attach(link)
         self._timer = self._timers.at(self._clock() + PATIENCE, self._impatient)
-        self._send({"is": "ask", "form": FORM})
+        self._send({"is": "ask", "form": FORM, "peers": self.peers is not None})
 
     def _wait(self, told: dict[str, Any], fds: list[int]) -> None:
         if self._timer is not None:
@@ -90,6 +92,13 @@
         self._end()
 
     def _state(self, told: dict[str, Any], fds: list[int]) -> None:
+        if told.get("peers") is True:
+            sock = socket.socket(fileno=fds.pop())
+            if self.peers is not None:
+                self.peers.open(sock)
+                self.peers.rest(True)  # until the old one has let go of it
+            else:
+                sock.close()
         for name, fd in zip(told["doors"], fds, strict=True):
             listener = socket.socket(fileno=fd)
             if name in self.doors and not self.doors[name].listening:
@@ -112,6 +121,8 @@
     def _yours(self, told: dict[str, Any], fds: list[int]) -> None:
         self._count(told)
         self._workers.share(True)
+        if self.peers is not None:
+            self.peers.rest(False)
         for name in self._shared:
             self.doors[name].rest(False)
         self._finish()
@@ -183,19 +194,25 @@
             raise ValueError("the other process speaks another form")
         listeners = {name: door.listener for name, door in self.doors.items() if door.listener is not None}
         ids = self._table.ids
-        state = {
+        state: dict[str, Any] = {
             "is": "state", "doors": list(listeners), "table": self._table.told(),
             "bans": self._table.bans.told(), "ids": self._exchange.ids, "memory": self._exchange.memory(),
             "legs": [[ids.name(worker), out] for worker, out in self._exchange.out_at.items()],
         }  # fmt: skip
+        fds = list(listeners.values())
+        if told.get("peers") is True and self.peers is not None and self.peers.sock is not None:
+            state["peers"] = True
+            fds.append(self.peers.sock.fileno())
         self._tell_from_now_on()
-        self._send(state, list(listeners.values()))
+        self._send(state, fds)
 
     def _taken(self, told: dict[str, Any], fds: list[int]) -> None:
         self.given = True
         self._shared = [name for name in told["doors"] if name in self.doors]
         for name in self._shared:
             self.doors[name].rest(True)
+        if self.peers is not None:  # the next one speaks for both
+            self.peers.rest(True)
         self._workers.share(True)
         self._log("another process has taken over; this one serves the clients that it has")
         self._send({"is": "yours", "open": self._open()})
--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -14,6 +14,7 @@
 from eiderfield.exchange import Exchange, Leg, Timer, Timers
 from eiderfield.interface import STARTED, Outcome
 from eiderfield.net.http import Head, Malformed, Parser, request_bytes
+from eiderfield.net.reports import from_body, from_object, from_text
 
 PROGRESS = 2  # Noted.what: a share of the job is done
 MAX_LINE = 4 * 65536  # a result of 64 KiB, with every character escaped
@@ -204,7 +205,7 @@
                 self.side.exchange.rejected(leg)
                 return
             unstarted = head.status in (503, 504) and head.get("x-not-run") == "1"
-            self._end(Outcome.FULL if unstarted else Outcome.ERROR)
+            self._end(Outcome.FULL if unstarted else Outcome.ERROR, self._report({}))
 
     def _body(self, data: bytes) -> None:
         if isinstance(self.load, Probing):
@@ -244,14 +245,22 @@
                 raise Malformed("a result is not a text")
             data = result.encode()
             self._tail()
-            self.side.exchange.served(leg, data)
+            self.side.exchange.served(leg, data, self._report(told))
         elif state in _ENDS:
-            self._end(_ENDS[state])
+            self._end(_ENDS[state], self._report(told))
 
-    def _end(self, outcome: Outcome) -> None:
+    def _report(self, told: dict[str, object]) -> tuple[float, ...]:
+        """The load report in an attempt's last object, or else in its answer's head."""
+        fields = self.side.exchange.site.report_fields
+        if not fields or self.head is None:
+            return ()
+        return from_object(told.get("load"), fields) or from_text(self.head.get("x-load"), fields)
+
+    def _end(self, outcome: Outcome, load: tuple[float, ...]) -> None:
         leg = self.load
         self._tail()
-        self.side.report(leg, outcome)
+        if isinstance(leg, Leg):
+            self.side.exchange.ended(leg, outcome, load)
 
     def _tail(self) -> None:
         self.load = None
@@ -387,11 +396,7 @@
         """A probe was answered."""
         load: tuple[float, ...] = ()
         if probing.load and status == 200:
-            try:
-                report = json.loads(bytes(probing.body))
-                load = tuple(float(report[name]) for name in self.exchange.site.report_fields)
-            except (ValueError, TypeError, LookupError, RecursionError):
-                load = ()
+            load = from_body(bytes(probing.body), self.exchange.site.report_fields)
         outcome = Outcome.OK if status == 200 else Outcome.ERROR
         self.exchange.probed(probing.worker, outcome, self._clock() - probing.sent, load)
 
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,122 @@
+"""Load reports: read where workers put them, never trusted."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+from conftest import BASE, Node, sends
+from deployments import DEPLOYMENTS
+from desk import Desk
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from eiderfield.decide import Dispatcher
+from eiderfield.interface import Ended, Entry, Listed, ListKind, Outcome
+from eiderfield.net.reports import from_body, from_object, from_text
+
+FIELDS = ("active", "rps", "x0")
+NAN = math.nan
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("TEXT active=7, rps=2, x0=0.61", (7.0, 2.0, 0.61)),
+        ("TEXT x0=3", (NAN, NAN, 3.0)),
+        ("TEXT x0=3, x0=4, other=9", (NAN, NAN, 4.0)),
+        ("x0 = 3 ,active=-1", (NAN, NAN, 3.0)),
+        ("TEXT x0=many", ()),
+        ("TEXT x0=inf", ()),
+        ("TEXT x0=1e300", ()),
+        ("", ()),
+        ("TEXT", ()),
+    ],
+)
+def test_a_report_as_text(text, told):
+    assert repr(from_text(text, FIELDS)) == repr(told)
+
+
+@pytest.mark.parametrize(
+    ("found", "told"),
+    [
+        ({"active": 1, "rps": 2.5, "x0": 3}, (1.0, 2.5, 3.0)),
+        ({"x0": True, "rps": "2"}, ()),
+        ({"x0": None, "active": 4}, (4.0, NAN, NAN)),
+        ([1, 2, 3], ()),
+        (None, ()),
+    ],
+)
+def test_a_report_as_an_object(found, told):
+    assert repr(from_object(found, FIELDS)) == repr(told)
+
+
+@hypothesis_settings(derandomize=True, database=None, deadline=None)
+@given(st.binary(max_size=200))
+def test_no_body_is_more_than_no_report(body):
+    for value in from_body(body, FIELDS):
+        assert math.isnan(value) or 0.0 <= value <= 1e6
+
+
+def told(monkeypatch, how):
+    """What the module hears with the end of a leg."""
+    loads = []
+    real = Dispatcher._ended
+    heard = lambda module, event, now: (loads.append(event.load), real(module, event, now))  # noqa: E731
+    monkeypatch.setattr(Dispatcher, "_ended", heard)
+    desk = Desk(DEPLOYMENTS["admissions"])
+    desk.client(path="/safe")
+    end = desk.dials[0].up()
+    how(end, end.take()[0])
+    return loads
+
+
+def test_reports_come_with_every_kind_of_end(monkeypatch):
+    load = {"active": 2, "rps": 1, "x0": 3}
+    for state in ("done", "failed", "returned", "lost"):
+        more = {"result": "r"} if state == "done" else {}
+        line = {"from": "w", "state": state, "load": load, **more}
+        heard = told(monkeypatch, lambda end, id_, line=line: end.say({"id": id_, **line}, end=True))
+        assert heard[0] == (2, 1, 3)
+    text = "TEXT active=2, rps=1, x0=3"
+    heard = told(monkeypatch, lambda end, id_: end.status(503, X_Not_Run="1", X_Load=text))
+    assert heard[0] == (2, 1, 3)
+
+
+def test_a_broken_report_does_not_spoil_the_answer_that_it_came_with(monkeypatch):
+    line = {"from": "w", "state": "done", "result": "r", "load": {"x0": "all"}}
+    assert told(monkeypatch, lambda end, id_: end.say({"id": id_, **line}, end=True)) == [()]
+
+
+def ended(node, id_, worker, load, outcome=Outcome.OK):
+    return node.play(Ended(id_, 0, worker, outcome, 1.0, outcome == Outcome.OK, load=load))
+
+
+def test_a_report_without_the_free_slots_changes_nothing():
+    node = Node(replace(BASE, report_fields=FIELDS), workers=1)
+    id_, _ = node.arrive()
+    ended(node, id_, 1, (3.0, 1.0, NAN))
+    assert node.dispatcher._workers[1].reported == -math.inf
+    assert node.dispatcher._slots[0] == 2.0
+
+
+def test_free_slots_are_not_believed_against_full():
+    node = Node(replace(BASE, report_fields=FIELDS), workers=1)
+    id_, _ = node.arrive()
+    ended(node, id_, 1, (0.0, 0.0, 5.0), Outcome.FULL)
+    assert not sends(node.arrive()[1]), "it said 'full' a moment ago"
+
+
+def test_a_restarted_worker_owes_nothing_to_its_old_reports_or_faults():
+    node = Node(replace(BASE, report_fields=FIELDS, cold=0.0), workers=1)
+    worker = node.dispatcher._workers[1]
+    node.now = 100.0
+    id_, _ = node.arrive()
+    ended(node, id_, 1, (0.0, 0.0, 0.0))
+    worker.faults = 3.0
+    worker.strike(node.now, erring=True)
+    node.play(Listed(ListKind.DELTA, 2, (Entry(1, ready_at=node.now),)))
+    assert worker.reported == -math.inf and not worker.erring and not worker.faults
+    assert sends(node.arrive()[1])
--- a/tests/world.py
+++ b/tests/world.py
@@ -33,6 +33,7 @@
 LATEST = 60.0  # ms by which this player's steps may be late with a timer
 WORK = 100.0  # every job's hint, so that the work sent can be counted
 FAILURES = [Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.CANCELLED, Outcome.TIMEOUT]
+FIGURES = [0.0, 0.4, 3.0, 5.0, float("nan")]  # of load reports: noisy, stale and partial
 OUTCOMES = [Outcome.OK] * 6 + [Outcome.FULL] * 2 + FAILURES
 
 VARIANTS = {
@@ -148,7 +149,9 @@
                 self.jobs[id_] = {"cls": cls, "due": due_at, "answered": None, "gone": False, "attempts": []}
                 tenant = rng.randrange(max(1, len(self.settings.tenants)))
                 key = rng.choice([0, 0, 7, 8])
-                events.append(Arrived(id_, cls, self.now + wait, tenant, key, WORK, flags=rng.choice([1, 3])))
+                slots = rng.choice([1.0, 1.0, 1.0, 2.0, 4.0])
+                flags = rng.choice([1, 3])
+                events.append(Arrived(id_, cls, self.now + wait, tenant, key, WORK, slots, flags=flags))
             elif draw < 0.8 and self.out:
                 events.append(self.outcome(*self.out.pop(rng.randrange(len(self.out)))))
             elif draw < 0.87 and self.out:
@@ -187,7 +190,8 @@
             if job["answered"] is None and not job["gone"]:
                 job["answered"] = self.now
         over = job["answered"] is not None or job["gone"]
-        return Ended(id_, number, attempt["w"], how, self.now - attempt["sent"], over)
+        load = tuple(self.rng.choice(FIGURES) for _ in self.settings.report_fields)
+        return Ended(id_, number, attempt["w"], how, self.now - attempt["sent"], over, load=load)
 
     def run(self, steps):
         """Plays so many steps, then lets the time of all clients run out."""
