Pass known failing workers to the next process, and test the hard cases of a second site

`memory` now names them, under a key of its own that an older process leaves unread.

Tests: upgrade in the middle of peer messages with real processes, tenants in one burst, two answers of copies in one turn, a never-twice job cut before, within and after its last byte, a peer that falls silent, two dispatchers at one free slot, an old report.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -120,9 +120,8 @@
         return True
     if job.cls.effect == Effect.UNSAFE or now > first.sent + job.cls.window:
         return False
-    if job.cls.scope == Scope.ZONE:
-        return worker.entry.zone == first.entry.zone
-    return job.cls.scope == Scope.ALL or worker.entry.cell == first.entry.cell
+    zone, cell = worker.entry.zone == first.entry.zone, worker.entry.cell == first.entry.cell
+    return {Scope.ALL: True, Scope.ZONE: zone, Scope.CELL: cell}[job.cls.scope]
 
 
 def may_refuse(job: Job) -> bool:
@@ -220,9 +219,8 @@
 
     def close_window(self, now: float, waiting: bool) -> None:
         """Applies D + C x (E - R) with C = D / R when the window held refusals, else raises."""
-        span = now - self.start
-        sent = 1000.0 * self.sent / span
-        accepted = 1000.0 * max(0, self.accepted) / span  # 'full' may come a window after its send
+        per_s = 1000.0 / (now - self.start)
+        sent, accepted = per_s * self.sent, per_s * max(0, self.accepted)  # 'full' may come a window late
         if sent and accepted < sent:
             if self.rate is None:
                 self.rate = self.uncut = sent
@@ -312,8 +310,9 @@
         cold = [(w.entry.worker, list(w.recent)) for w in self._workers.values() if w.recent]
         pacers = [(p.run, p.rate, p.uncut, p.next_at) for p in self._pacers]
         keys, slots = self._keys.most_common(KEYS_TOLD), list(self._slots.items())
-        spent = [self._retry_tokens, self._served_rate, self._served_at]
-        return {"pacers": pacers, "spent": spent, "cold": cold, "keys": keys, "slots": slots}
+        spent = (self._retry_tokens, self._served_rate, self._served_at)
+        bad = [(w.entry.worker, w.faults, w.strikes) for w in self._workers.values() if w.erring]
+        return {"pacers": pacers, "spent": spent, "cold": cold, "keys": keys, "slots": slots, "erring": bad}
 
     def resume(self, memory: dict[str, Any]) -> None:
         """Goes on from the memory of the process before. The list must be known."""
@@ -325,6 +324,9 @@
         self._keyed = self._keys.total()
         for id_, recent in [(id_, recent) for id_, recent in memory["cold"] if id_ in self._workers]:
             self._workers[id_].recent.extend((at, work) for at, work in recent)
+        for w, faults, strikes in [(self._workers.get(x), *told) for x, *told in memory.get("erring", ())]:
+            if w is not None:
+                w.faults, w.strikes, w.erring = faults, strikes, True
         self._deal()
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
@@ -407,8 +409,7 @@
         return tokens < 1.0
 
     def _find(self, id_: int, number: int) -> tuple[Job | None, Attempt | None]:
-        job = self._jobs.get(id_)
-        tries = job.attempts if job is not None else []
+        tries = job.attempts if (job := self._jobs.get(id_)) is not None else []
         return job, tries[number] if number < len(tries) else self._late_attempts.get((id_, number))
 
     def _ended(self, event: Ended, now: float) -> None:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
+from conftest import Node
 from deployments import DEPLOYMENTS
 from desk import Desk
 from hypothesis import HealthCheck, given
@@ -13,7 +15,19 @@
 from world import World
 
 from eiderfield import exchange as core
-from eiderfield.interface import Action, Effect
+from eiderfield.interface import (
+    Action,
+    Arrived,
+    Effect,
+    Ended,
+    Outcome,
+    PeerSaid,
+    Refuse,
+    Send,
+    Tell,
+    Tenant,
+    pack_counts,
+)
 
 NAMES = list(DEPLOYMENTS)
 
@@ -92,3 +106,82 @@
 
 def test_every_action_of_the_module_has_a_taker(desk):
     assert set(Action.__args__) == set(desk.exchange._takers)
+
+
+def told(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def test_a_tenant_over_its_share_does_not_push_out_one_within_it_in_the_same_burst():
+    tenants = (Tenant("a", 50.0, 0.7), Tenant("b", 2.0, 0.3))
+    site = replace(DEPLOYMENTS["admissions"], balancers=1, tenants=tenants)
+    node = Node(site, workers=1)
+    events = [Arrived(n, 0, 5000.0, tenant=1) for n in range(1, 41)]
+    events += [Arrived(n, 0, 5000.0, tenant=0) for n in range(41, 51)]
+    refused = {action.id for action in told(node.play(*events), Refuse)}
+    assert refused and refused <= set(range(1, 41)), "only of the one that is over its share"
+
+
+def test_two_answers_of_second_copies_in_one_turn_are_one_answer():
+    desk = Desk(DEPLOYMENTS["admissions"])
+    client = ask(desk, desk.exchange.site.classes[0])
+    first = desk.dials[0].up()
+    first.say({"id": "r1", "from": "w", "state": "started"})
+    while not desk.dials:  # silence: the class may have a second copy
+        desk.advance(50.0)
+    second = desk.dials[0].up()
+    assert second.take() == ["r1"] and first.take() == ["r1"]
+    settle, desk.settle = desk.settle, lambda: None
+    second.finish(result="second")
+    first.say({"id": "r1", "from": "w", "state": "done", "result": "first"}, head=False, end=True)
+    desk.settle = settle
+    desk.settle()
+    assert [(status, body) for status, _, body in client.answers()] == [(200, b"second")]
+    assert desk.exchange.unanswered == 0 and not desk.exchange.holds("r1")
+
+
+@pytest.mark.parametrize("cut", ["before", "within", "after"])
+def test_a_never_twice_job_whose_leg_broke_before_within_or_after_its_last_byte(cut):
+    site = DEPLOYMENTS["admissions"]
+    desk = Desk(site)
+    client = ask(desk, next(cls for cls in site.classes if cls.effect == Effect.UNSAFE))
+    if cut == "before":
+        desk.dials[0].refuse()
+    else:
+        desk.dials[0].up(stuck=cut == "within").pipe.break_off()
+    desk.settle()
+    if cut == "after":  # it may have run: the truth, at once, and no word of coming again
+        assert [status for status, _, _ in client.answers()] == [502] and not desk.dials
+    else:
+        desk.dials[0].up().finish(result="once")
+        assert [(status, body) for status, _, body in client.answers()] == [(200, b"once")]
+
+
+def test_a_peer_that_falls_silent_is_believed_for_two_seconds_and_no_longer():
+    node = Node(replace(DEPLOYMENTS["admissions"], tenants=()), workers=1)
+    node.dispatcher._slots[0] = 4.0
+    node.play(PeerSaid(1, pack_counts([(1, 9)])))
+    assert not told(node.arrive(cls=0)[1], Send)
+    node.play(at=1900.0)
+    assert not told(node.arrive(cls=0, due=9000.0)[1], Send)
+    assert told(node.play(at=2100.0), Send)
+
+
+def test_two_dispatchers_that_see_the_same_free_slot_take_it_once_they_have_told():
+    site = replace(DEPLOYMENTS["admissions"], tenants=())
+    nodes = [Node(replace(site, me=me), workers=1, seed=me) for me in (0, 1)]
+    for node in nodes:
+        node.dispatcher._slots[0] = 2.0
+    sent = [node.arrive(cls=0, slots=2.0)[1] for node in nodes]
+    assert all(told(actions, Send) for actions in sent), "neither could know: one waits at the worker"
+    for node, actions in zip(nodes, reversed(sent), strict=True):
+        node.play(*[PeerSaid(1 - node.dispatcher._set.me, tell.data) for tell in told(actions, Tell)])
+    assert not any(told(node.arrive(cls=0, slots=2.0)[1], Send) for node in nodes)
+
+
+def test_an_older_report_than_the_slots_seen_does_not_shrink_a_worker():
+    node = Node(replace(DEPLOYMENTS["admissions"], tenants=(), balancers=1), workers=1)
+    node.dispatcher._slots[0] = 4.0
+    id_, _ = node.arrive(cls=0)
+    node.play(Ended(id_, 0, 1, Outcome.OK, 1.0, True, load=(9.0, 9.0, 0.0)))
+    assert told(node.arrive(cls=0)[1], Send), "what was free seconds ago is no limit"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import threading
+from struct import Struct
 
 import pytest
 from desk import Client, Desk
@@ -15,11 +16,13 @@
 from test_program import ROOT, ask, free_port
 from test_reload import CONFIG, Holding, Source
 
-from eiderfield.interface import State
+from eiderfield.idmap import IdMap
+from eiderfield.interface import State, pack_counts, unpack_counts
 from eiderfield.net.acquirer import AT_ONCE
 from eiderfield.net.handover import LONGER, PATIENCE, Handover
 from eiderfield.net.link import Ear, reach
 
+ENVELOPE = Struct("<BIH")  # of messages between dispatchers
 LISTEN = "listen 127.0.0.1:1"
 PATIENT = {**CONFIG["settings"]["classes"][0], "give_up": 300_000}  # however long a process takes to start
 
@@ -210,6 +213,17 @@
     assert heir._keyed == 42 and heir._keys[7] == 40
 
 
+def test_a_worker_known_to_fail_is_known_to_the_next_process(pair):
+    """Each new process of sofia's upgrade day sent jobs that must never run twice to find it out anew."""
+    old = pair.old.desk.exchange._module
+    [id_] = [w for w in old._workers if w == pair.old.desk.ids.worker("w1")]
+    old._workers[id_].faults = 2.0
+    old._workers[id_].strike(0.0, erring=True)
+    pair.go()
+    heir = pair.new.desk.exchange._module._workers[id_]
+    assert (heir.faults, heir.strikes, heir.erring) == (2.0, 1, True)
+
+
 def test_connections_are_counted_and_shared_out_together(pair):
     kept = [Client(pair.old.desk) for _ in range(5)]
     pair.go()
@@ -363,7 +377,7 @@
 
     def __init__(self, folder, discovery):
         self.folder, self.discovery, self.port = folder, discovery, free_port()
-        self.running = []
+        self.running, self.more = [], {}
 
     def start(self):
         return self.up(*self.launch())
@@ -371,7 +385,8 @@
     def launch(self):
         console = free_port()
         told = {**CONFIG, "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery}",
-                "console": f"127.0.0.1:{console}", "settings": {"classes": [PATIENT]}}  # fmt: skip
+                "console": f"127.0.0.1:{console}", "settings": {"classes": [PATIENT]},
+                **self.more}  # fmt: skip
         path = self.folder / f"config-{console}.json"
         path.write_text(json.dumps(told))
         environ = {**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(self.folder)}
@@ -442,6 +457,54 @@
     assert not list(releases.folder.glob("*.sock*"))
 
 
+def test_in_an_upgrade_peers_are_heard_and_told_by_one_process_without_a_gap(releases):
+    peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    peer.bind(("127.0.0.1", 0))
+    peer.settimeout(30)
+    ours, theirs = f"127.0.0.1:{free_port()}", f"127.0.0.1:{peer.getsockname()[1]}"
+    policy = {"may_tell": True, "retry_after": True}
+    releases.more = {
+        "settings": {"classes": [PATIENT], "balancers": 2, "me": 0, "policy_limits": policy},
+        "peer_listen": ours, "peers": [ours, theirs],
+    }  # fmt: skip
+    host, port = ours.split(":")
+    numbers = iter(range(1, 1000))
+
+    def say():
+        message = ENVELOPE.pack(1, 7, next(numbers)) + pack_counts([(releases.number, 1)])
+        peer.sendto(message, (host, int(port)))
+
+    def heard(console, most):
+        while (figures := json.loads(call(console, "/-/metrics")[1])["peers"]).get("heard", 0) < most:
+            pass
+        return figures["heard"]
+
+    releases.number = IdMap().worker("w")
+    old, console = releases.start()
+    releases.source.asked.get(timeout=30)
+    say()
+    heard(console, 1)
+    busy = socket.create_connection(("127.0.0.1", releases.port), 30)
+    busy.sendall(post("r1"))
+    assert releases.worker.came.wait(30)
+    first = ENVELOPE.unpack_from(message := peer.recv(300))
+    assert list(unpack_counts(message[ENVELOPE.size :])) == [(releases.number, 1)], "its job at the worker"
+    _, later = releases.start()
+    for _ in range(5):
+        say()
+    assert heard(later, 5) == 5 and heard(console, 1) == 1, "all of them by the next process"
+    old.send_signal(signal.SIGTERM)
+    releases.worker.let.set()
+    assert ask(busy, b"") == (200, b"cba") and old.wait(30) == 0
+    while list(unpack_counts((message := peer.recv(300))[ENVELOPE.size :])) != [(releases.number, 0)]:
+        pass  # told by the next process, whose life is later, though the job was the old one's
+    assert ENVELOPE.unpack_from(message)[1] > first[1]
+    say()
+    heard(later, 6)
+    busy.close()
+    peer.close()
+
+
 def test_upgrades_that_follow_each_other_closely_lose_no_job(releases):
     first, _ = releases.start()
     releases.source.asked.get(timeout=30)
