--- a/eiderfield/lab/fleet/proxy.py
+++ b/eiderfield/lab/fleet/proxy.py
@@ -65,7 +65,7 @@
         except OSError:
             sender.cancel()
             _reset(writer)
-        with suppress(asyncio.CancelledError, OSError):
+        with suppress(asyncio.CancelledError, OSError, RuntimeError):  # RuntimeError: it was half closed
             await sender
 
     async def _send(
--- a/eiderfield/lab/fleet/run.py
+++ b/eiderfield/lab/fleet/run.py
@@ -406,6 +406,8 @@
             return held == [0, 0]
 
         with suppress(RigError, OSError, ValueError):
+            # One that was started again a moment ago does not heed signals yet.
+            wait_for(f"{dispatcher.name} is ready", dispatcher.ready)
             wait_for(f"{dispatcher.name} rests", quiet, AFTER)
         descriptors = dispatcher.descriptors()
         dispatcher.signal(signal.SIGTERM)
