Let any job try a rested worker that no safe one has tried for half a second

Found by the deployment of one worker: its worker refuses a connection, rests 500 ms, and a job that must not run twice, though it never left, waits until its time ends and is declined ("declined", 5 s later). A count of dials showed none after the first: `_trusted` keeps trials to the class that is safest, and no such job came. Ruled out: the retry budget (the leg never ran) and the pause (over after 500 ms). With safe traffic the trial is made at once, as before; half a second after the pause, which nobody used, any job may make it, but for workers that fail jobs.

--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -774,8 +774,8 @@
         return self._usable(worker, now) and not self._cold(worker, now + (1.0 - COLD_REST) * self._set.cold)
 
     def _trusted(self, worker: Worker, job: Job) -> bool:
-        trials = max(self._trials, Effect.KEYED) if worker.erring else self._trials  # which can come back
-        return not worker.strikes or job.cls.effect <= trials
+        alone = not worker.erring and self._now >= worker.suspect_until + STRIKE_PAUSE  # no other has tried
+        return not worker.strikes or alone or job.cls.effect <= max(self._trials, worker.erring)
 
     def _ready(self, worker: Worker, job: Job, now: float) -> bool:
         """Whether this worker may take this job: its kind, rule 2's group, and rule 4's budget."""
