--- a/eiderfield/cli/lab.py
+++ b/eiderfield/cli/lab.py
@@ -87,3 +87,28 @@
     show_plain(told, "A restart with a full house")
     if told["lost"]:
         raise click.ClickException(f"{told['lost']} phones were lost")
+
+
+@lab.command()
+@click.option(
+    "--kit", type=click.Path(exists=True, file_okay=False, path_type=Path), required=True, help="where it is"
+)
+@click.option("--why", required=True, help="one plain sentence that names the change")
+@click.argument(
+    "sites", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path)
+)
+def regression(kit: Path, why: str, sites: tuple[Path, ...]) -> None:
+    """Plays the operators' benches for each SITE in turn, beside the journal's last figures.
+
+    Exits with 1 if a gate or rule failed or a figure fell by more than 0.03 within its panel.
+    """
+    from eiderfield.lab.regression import play, verdict
+    from eiderfield.lab.report import show_regression
+
+    try:
+        rows = play(Path.cwd(), kit, sites, why, lambda text: click.echo(text, err=True))
+    except (RuntimeError, ValueError, OSError) as error:
+        raise click.ClickException(str(error)) from None
+    show_regression(rows)
+    if any(verdict(*row) != "kept" for row in rows):
+        raise SystemExit(1)
--- a/eiderfield/lab/report.py
+++ b/eiderfield/lab/report.py
@@ -7,6 +7,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from eiderfield.lab.regression import Played, verdict
+
 
 def _ms(figures: dict[str, float]) -> str:
     return " / ".join(f"{figures[name]:.1f}" for name in ("p50", "p99", "p99.9"))
@@ -55,3 +57,17 @@
     for name, value in told.items():
         table.add_row(name, f"{value:.2f}" if isinstance(value, float) else str(value))
     (console or Console(width=120)).print(table)
+
+
+def show_regression(rows: list[tuple[Played, Played | None]], console: Console | None = None) -> None:
+    """The result of `eiderfield lab regression`."""
+    console = console or Console(width=120)
+    table = Table(title="Benches in turn, beside the journal's last figures of the same panel")
+    for title in ("site", "days", "now", "before", "gate", "", "snapshot"):
+        table.add_column(title, justify="right" if title in ("now", "before") else "left")
+    for now, before in rows:
+        figures = ["-" if p is None or p.figure is None else f"{p.figure:.3f}" for p in (now, before)]
+        gate = "" if now.gate is None else "passed" if now.gate else "failed"
+        days = now.panel[2] if now.panel[0] == "real-score" else "simulator"
+        table.add_row(now.panel[1], days, *figures, gate, verdict(now, before), now.id)
+    console.print(table)
