--- /dev/null
+++ b/eiderfield/cli/fleet.py
@@ -0,0 +1,81 @@
+"""`eiderfield lab fleet`: many real processes, faults between them, and the rules judged from books."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import click
+
+
+@click.group()
+def fleet() -> None:
+    """Plays many processes of the program while parts of the system fail."""
+
+
+def _program(text: str) -> tuple[str, Path]:
+    name, _, folder = text.partition("=")
+    if not folder or not (Path(folder) / "eiderfield").is_dir():
+        raise click.BadParameter(f"not NAME=FOLDER with the package in it: {text!r}")
+    return name, Path(folder).resolve()
+
+
+@fleet.command()
+@click.argument("scripts", nargs=-1, type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--seeds", default="", help="scripts drawn from these, as 0-9 or 3")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="where the runs' folders go")
+@click.option("--program", "programs", multiple=True, help="n0=FOLDER: that dispatcher runs another revision")
+def run(scripts: tuple[Path, ...], seeds: str, out: Path | None, programs: tuple[str, ...]) -> None:
+    """Plays SCRIPTS and scripts drawn from seeds, one after the other.
+
+    Prints a row for each as it ends. Exits with 1 if a rule was broken in any, 2 if a script is faulty.
+    """
+    from rich.console import Console
+
+    from eiderfield.lab.fleet.pages import write_events, write_page
+    from eiderfield.lab.fleet.run import Program, play
+    from eiderfield.lab.fleet.script import ScriptError, draw, read
+    from eiderfield.lab.rig import RigError
+
+    others = {name: Program(folder) for name, folder in map(_program, programs)}
+    try:
+        first, _, last = seeds.partition("-")
+        drawn = [draw(seed) for seed in range(int(first), int(last or first) + 1)] if seeds else []
+        found = [read(path.read_text()) for path in scripts] + drawn
+    except ScriptError as error:
+        raise click.UsageError(str(error)) from None
+    except ValueError:
+        raise click.BadParameter(f"not a seed or a range: {seeds!r}", param_hint="--seeds") from None
+    if not found:
+        raise click.UsageError("neither a script nor --seeds was given")
+    broken = 0
+    folder = out or Path(tempfile.mkdtemp(prefix="eiderfield-fleet-"))
+    console = Console(width=150)
+    for number, script in enumerate(found):
+        place = folder / f"{number:03d}-{script.name}"
+        try:
+            result = play(script, place, others)
+        except RigError as error:
+            raise click.ClickException(str(error)) from None
+        write_events(place)
+        write_page(place)
+        broken += not result.kept
+        counts = " ".join(f"{name} {value}" for name, value in result.counts.items())
+        console.print(f"{script.name}: {'kept' if result.kept else 'BROKEN'}; {counts}", highlight=False)
+        for finding in result.findings[:5]:
+            console.print(f"    {finding.rule}: {finding.text}", highlight=False, markup=False)
+    console.print(f"{len(found) - broken} of {len(found)} kept every rule; {folder}", highlight=False)
+    if broken:
+        raise SystemExit(1)
+
+
+@fleet.command()
+@click.argument("seed", type=int)
+def draw(seed: int) -> None:
+    """Shows the script that a seed draws."""
+    import json
+
+    from eiderfield.lab.fleet.script import draw as drawn
+    from eiderfield.lab.fleet.script import told
+
+    click.echo(json.dumps(told(drawn(seed)), indent=1))
--- a/eiderfield/cli/lab.py
+++ b/eiderfield/cli/lab.py
@@ -10,12 +10,16 @@
 
 import click
 
+from eiderfield.cli.fleet import fleet
+
 
 @click.group()
 def lab() -> None:
     """Measures on stand-ins, on this machine's loopback addresses."""
 
 
+lab.add_command(fleet)
+
 Command = TypeVar("Command", bound=Callable[..., Any])
 
 
--- /dev/null
+++ b/eiderfield/lab/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Many real processes of the program, faults between them, and books by which the rules are judged."""
--- /dev/null
+++ b/eiderfield/lab/fleet/rules.py
@@ -0,0 +1,203 @@
+"""The rules, judged from the workers' and the clients' book alone, knowing nothing of the program's own.
+
+A finding names its rule, the job and what the books say. What a fault excuses is excused by the list of
+faults that were carried out, by time and target, and by nothing else:
+
+    answered   what a dispatcher took, it answers before the client's time is over
+    made       a served result is one that a worker made for that job
+    once       a try begins as often as its class allows, never in two groups of a key's workers
+    copies     no two legs of a try are out at once
+    declined   nobody is told that asking again is harmless when the job began and may not run twice
+    drain      nothing new comes to a worker later than the grace after its dispatcher was told
+    cold       a worker that has just started is not sent more than it bears, by all dispatchers together
+    rest       when all is over no dispatcher holds a job, a client's connection or too many descriptors
+    ends       dispatchers that no fault ended are there, and end with 0 when told to
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from math import inf
+
+from eiderfield.lab.fleet.book import Event
+from eiderfield.lab.fleet.script import Script
+
+SLACK = 0.5  # s by which an event may be written down later than it was
+COLD_SLACK = 1.15  # of a cold worker's allowance, for chance
+OPEN_ENDS = frozenset({"ended", "unread", "dropped", "lost", "parted"})  # after which a leg is not out
+ATTEMPTS = 4  # legs of a try, as the fleet's settings say
+DESCRIPTORS = 40  # that a dispatcher may hold more than at its start: kept connections to workers
+
+
+@dataclass(frozen=True, slots=True)
+class Struck:
+    """A fault that was carried out, from `since` to `until` (inf: until the end)."""
+
+    what: str
+    who: str
+    since: float
+    until: float = inf
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """A broken rule."""
+
+    rule: str
+    job: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class AtRest:
+    """What a dispatcher was found to hold after a run, and how it ended."""
+
+    name: str
+    inflight: int
+    connections: int
+    descriptors: int
+    descriptors_first: int
+    code: int | None  # of its end; None if it was gone before
+
+
+def judge(
+    script: Script, workers: Sequence[Event], clients: Sequence[Event], struck: Sequence[Struck],
+    rest: Iterable[AtRest],
+) -> list[Finding]:  # fmt: skip
+    """All findings, in the order of the rules."""
+    kinds = {kind.name: kind for kind in script.kinds}
+    effects = {name: kind.effect for name, kind in kinds.items()}
+    return [
+        *_answered(clients, struck),
+        *_made(workers, clients),
+        *_once(workers, effects),
+        *_copies(workers),
+        *_declined(workers, clients, effects),
+        *_drain(script, workers, struck),
+        *_cold(script, workers),
+        *_rest(rest, struck),
+    ]
+
+
+def _excused(struck: Sequence[Struck], who: Iterable[str], since: float, until: float) -> bool:
+    names = set(who)
+    return any(s.who in names and s.since <= until + SLACK and s.until >= since - SLACK for s in struck)
+
+
+def _answered(clients: Sequence[Event], struck: Sequence[Struck]) -> Iterable[Finding]:
+    asked = {event["id"]: event for event in clients if event["what"] == "asked"}
+    ends = {e["id"]: e for e in clients if e["what"] in ("answered", "broke", "left") and e["id"] in asked}
+    for id_, event in asked.items():
+        end = ends.get(id_)
+        until = end["t"] if end is not None else event["t"] + event["left"]
+        if end is not None and end["what"] == "answered":
+            continue
+        if not _excused(struck, (event["at"], f"c>{event['at']}"), event["t"], until):
+            how = "no end" if end is None else end["what"]
+            text = f"{id_} at {event['at']}: {how} after {until - event['t']:.2f} s"
+            yield Finding("answered", event["job"], text)
+
+
+def _made(workers: Sequence[Event], clients: Sequence[Event]) -> Iterable[Finding]:
+    made = {event["result"]: event["job"] for event in workers if event["what"] in ("ended", "unread")}
+    for event in clients:
+        served = event["what"] == "answered" and event["status"] == 200
+        if served and made.get(event["result"]) != event["job"]:
+            text = f"{event['id']} was served {event['result']!r}, made by no worker"
+            yield Finding("made", event["job"], text)
+
+
+def _once(workers: Sequence[Event], effects: dict[str, str]) -> Iterable[Finding]:
+    begun = defaultdict(list)
+    for event in workers:
+        if event["what"] == "began":
+            begun[event["id"]].append(event)
+    for id_, events in begun.items():
+        first = events[0]
+        most = 1 if effects[first["kind"]] == "fragile" else ATTEMPTS
+        if len(events) > most:
+            yield Finding("once", first["job"], f"{id_}, {first['kind']}, began {len(events)} times")
+        if effects[first["kind"]] == "dedup" and len({event["group"] for event in events}) > 1:
+            groups = sorted({event["group"] for event in events})
+            yield Finding("once", first["job"], f"{id_} began in groups {groups}")
+
+
+def _copies(workers: Sequence[Event]) -> Iterable[Finding]:
+    out: dict[tuple[str, str], set[str]] = defaultdict(set)
+    for event in workers:
+        if event["what"] == "came":
+            places = out[event["id"], event["by"]]
+            places.add(event["worker"])
+            if len(places) > 1:
+                text = f"{event['id']} is out at {sorted(places)} at once"
+                yield Finding("copies", event["job"], text)
+        elif event["what"] in OPEN_ENDS:
+            out[event["id"], event["by"]].discard(event["worker"])
+
+
+def _declined(
+    workers: Sequence[Event], clients: Sequence[Event], effects: dict[str, str]
+) -> Iterable[Finding]:
+    began = {event["id"]: event["t"] for event in workers if event["what"] == "began"}
+    for event in clients:
+        declined = event["what"] == "answered" and event["status"] in (429, 503)
+        if declined and effects[event["kind"]] != "retryable" and began.get(event["id"], inf) < event["t"]:
+            yield Finding("declined", event["job"], f"{event['id']} was declined though it had begun")
+
+
+def _drain(script: Script, workers: Sequence[Event], struck: Sequence[Struck]) -> Iterable[Finding]:
+    grace = (script.drain_grace + 50.0) / 1000.0
+    told: dict[tuple[str, str], float] = {}  # by dispatcher and worker: since when it wants nothing new
+    for event in workers:
+        if event["what"] == "told":
+            for name, status in event["workers"].items():
+                if status == "SERVING":
+                    told.pop((event["to"], name), None)
+                else:
+                    told.setdefault((event["to"], name), event["t"])
+        elif event["what"] == "came":
+            by, worker = event["by"], event["worker"]
+            since = told.get((by, worker), inf)
+            links = (by, f"{by}>source", f"{by}>{worker}")
+            if event["t"] > since + grace and not _excused(struck, links, since, event["t"]):
+                text = f"{event['id']} came to {worker} {event['t'] - since:.2f} s after {by} was told"
+                yield Finding("drain", event["job"], text)
+
+
+def _cold(script: Script, workers: Sequence[Event]) -> Iterable[Finding]:
+    started: dict[str, float] = {}
+    sent: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for event in workers:
+        if event["what"] == "mended" and event["fault"] in ("restart", "gone"):
+            started[event["worker"]] = event["t"]
+            sent[event["worker"]].clear()
+        elif event["what"] == "came" and (since := started.get(event["worker"])) is not None:
+            age = event["t"] - since
+            if age > script.cold / 1000.0:
+                continue
+            recent = sent[event["worker"]]
+            recent.append((event["t"], event["run"]))
+            window = sum(run for t, run in recent if t > event["t"] - script.fall / 1000.0)
+            allowed = script.fall_multiple * script.slots * event["share"] * script.fall * COLD_SLACK
+            if window > allowed:
+                sent_ = f"{window:.0f} of {allowed:.0f} ms of work"
+                text = f"{event['worker']} was sent {sent_}, {age:.2f} s after its start"
+                yield Finding("cold", event["job"], text)
+
+
+def _rest(rest: Iterable[AtRest], struck: Sequence[Struck]) -> Iterable[Finding]:
+    ended = {s.who for s in struck if s.what in ("kill", "term") and s.until == inf}
+    for found in rest:
+        if found.name in ended:
+            continue
+        if found.inflight or found.connections:
+            text = f"{found.name} holds {found.inflight} jobs and {found.connections} connections"
+            yield Finding("rest", "", text)
+        if found.descriptors > found.descriptors_first + DESCRIPTORS:
+            first = found.descriptors_first
+            text = f"{found.name} holds {found.descriptors} descriptors, {first} at its start"
+            yield Finding("rest", "", text)
+        if found.code != 0:
+            yield Finding("ends", "", f"{found.name} ended with {found.code}")
--- /dev/null
+++ b/eiderfield/lab/fleet/run.py
@@ -0,0 +1,486 @@
+"""A run: starts the processes, carries faults out, and leaves a folder that can be read without the program.
+
+    script.json, workers.jsonl, clients.jsonl, nX.log, result.json, events.parquet, index.html
+
+Everything that is started is a child of the run and ends with it. A dispatcher's program may be another
+revision: a folder with the package, and the interpreter that runs it.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import select
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import ExitStack, suppress
+from dataclasses import asdict, dataclass, field
+from fnmatch import fnmatchcase
+from itertools import count
+from math import inf
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import structlog
+
+from eiderfield.config import address_of
+from eiderfield.lab.fleet.book import Event, Reading, read
+from eiderfield.lab.fleet.rules import AtRest, Finding, Struck, judge
+from eiderfield.lab.fleet.script import Fault, Script, event, kind_of, told
+from eiderfield.lab.rig import RigError, call, wait_for
+
+LEAD = 0.3  # s from the clients' start to the first job
+POLL = 0.005  # s between two looks at the books for an event
+AFTER = 10.0  # s in which a dispatcher comes to rest after the last answer
+START = 60.0  # s in which a stand-in says what it is to say at its start
+_RUNS = count()
+ROOT = Path(__file__).resolve().parents[3]
+
+
+@dataclass(frozen=True, slots=True)
+class Program:
+    """A revision of the program."""
+
+    folder: Path = ROOT
+    python: str = sys.executable
+
+
+@dataclass
+class Result:
+    """What came of a run."""
+
+    findings: list[Finding]
+    struck: list[Struck]
+    counts: dict[str, int]
+    start: float
+    rest: list[AtRest] = field(default_factory=list)
+
+    @property
+    def kept(self) -> bool:
+        """Whether no rule was broken."""
+        return not self.findings
+
+
+class Ports:
+    """Addresses that nobody else has: a host of the loopback range for each run, counted up from one port.
+
+    Ports that the kernel gives out could be taken again, by a connection of the run itself, before they are
+    listened on; what connects to another host of the range does so from 127.0.0.1.
+    """
+
+    def __init__(self) -> None:
+        number = (os.getpid() * 8 + next(_RUNS)) % (64 * 250 * 250)
+        self.host = f"127.{64 + number // 62_500}.{1 + number // 250 % 250}.{1 + number % 250}"
+        self._next = 10_000
+
+    def take(self) -> str:
+        """An address that was not given out before."""
+        self._next += 1
+        return f"{self.host}:{self._next}"
+
+
+class Child:
+    """A stand-in process that is told what to do."""
+
+    def __init__(self, module: str, *words: str) -> None:
+        self._child = subprocess.Popen(
+            [sys.executable, "-m", f"eiderfield.lab.fleet.{module}", *words], cwd=ROOT, text=True,
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+        )  # fmt: skip
+        self.wait("ready")
+
+    def tell(self, **told: Any) -> None:
+        """A command."""
+        assert self._child.stdin is not None
+        self._child.stdin.write(json.dumps(told) + "\n")
+        self._child.stdin.flush()
+
+    def wait(self, word: str, patience: float = START) -> None:
+        """Waits for the line that says so; RigError if it does not come in `patience` s."""
+        assert self._child.stdout is not None
+        if not select.select([self._child.stdout], [], [], patience)[0]:
+            raise RigError(f"{self._child.args!r} did not say {word!r} within {patience:g} s")
+        line = self._child.stdout.readline()
+        if line.strip() != word:
+            raise RigError(f"{self._child.args!r} said {line!r} instead of {word!r}")
+
+    def end(self) -> None:
+        """Ends it."""
+        if self._child.poll() is None:
+            self._child.kill()
+        self._child.wait()
+        for pipe in (self._child.stdin, self._child.stdout):
+            if pipe is not None:
+                pipe.close()
+
+
+class Dispatcher:
+    """A dispatcher of the fleet, which may be ended and started again."""
+
+    def __init__(self, name: str, program: Program, config: dict[str, Any], folder: Path) -> None:
+        self.name, self.program, self.folder = name, program, folder
+        host, _, port = config["console"].rpartition(":")
+        self.console = (host, int(port))
+        self.config = config
+        self._child: subprocess.Popen[bytes] | None = None
+        self.descriptors_first = 0
+        self._tmp = folder / f"{name}.tmp"
+        self._tmp.mkdir(exist_ok=True)
+
+    @property
+    def pid(self) -> int:
+        """Its process's id."""
+        assert self._child is not None
+        return self._child.pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether it runs, or is stopped."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Starts it and waits until it serves."""
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.config))
+        environ = {**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(self._tmp)}
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self._child = subprocess.Popen(
+                [self.program.python, "-m", "eiderfield"], cwd=self.program.folder, env=environ,
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            )  # fmt: skip
+        wait_for(f"{self.name} is ready", self.ready)
+        self.descriptors_first = self.descriptors()
+
+    def ready(self) -> bool:
+        """Whether it takes clients and knows workers."""
+        if not self.alive:
+            raise RigError(f"{self.name} ended at its start")
+        with suppress(OSError, ValueError, LookupError):
+            return call(self.console, "/-/ready")[0] == 200 and self.figures()["hosts_listed"] > 0
+        return False
+
+    def figures(self) -> dict[str, Any]:
+        """What its console says."""
+        told_: dict[str, Any] = json.loads(call(self.console, "/-/metrics")[1])
+        return told_
+
+    def descriptors(self) -> int:
+        """How many it holds."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends it a signal, if it is there."""
+        if self.alive:
+            os.kill(self.pid, number)
+            if number == signal.SIGSTOP:
+                os.waitid(os.P_PID, self.pid, os.WSTOPPED | os.WNOWAIT)
+
+    def wait(self, patience: float = 30.0) -> int | None:
+        """Its code once it has ended."""
+        assert self._child is not None
+        with suppress(subprocess.TimeoutExpired):
+            return self._child.wait(patience)
+        return None
+
+    def end(self) -> None:
+        """Ends it at once."""
+        if self._child is not None:
+            with suppress(ProcessLookupError):
+                self._child.kill()
+            self._child.wait()
+
+
+class Fleet:
+    """All processes of a run."""
+
+    def __init__(self, script: Script, folder: Path, programs: Mapping[str, Program] | None = None) -> None:
+        self.script, self.folder = script, folder
+        folder.mkdir(parents=True, exist_ok=True)
+        self._stack = ExitStack()
+        self._log = structlog.wrap_logger(
+            structlog.WriteLogger((folder / "run.log").open("a", buffering=1)),
+            processors=[structlog.processors.add_log_level, structlog.processors.JSONRenderer()],
+        )
+        self._links: list[str] = []
+        self.struck: list[Struck] = []
+        self._gone: set[str] = set()  # dispatchers that the front holds for dead
+        names, workers = script.names("n"), script.names("w")
+        self._ports = Ports()
+        take = self._ports.take
+        ports = {n: {w: take() for w in workers} for n in names}
+        sources = {n: take() for n in names}
+        listens = {n: take() for n in names}
+        links: dict[str, tuple[str, str]] = {}
+        addresses: dict[str, dict[str, str]] = {}
+        for n in names:
+            addresses[n] = {}
+            for w in workers:
+                at = addresses[n][w] = take()
+                links[f"{n}>{w}"] = (at, ports[n][w])
+            links[f"{n}>source"] = (take(), sources[n])
+            links[f"c>{n}"] = (take(), listens[n])
+        self._links = list(links)
+        self._doors = {n: address_of(links[f"c>{n}"][0], n) for n in names}
+        (folder / "script.json").write_text(json.dumps(told(script), indent=1))
+        try:
+            self.estate = self._keep(Child("estate", str(folder)))
+            self.proxy = self._keep(Child("proxy"))
+            plain = told(script)
+            self.estate.tell(
+                do="open", script=plain, workers=workers, ports=ports, sources=sources, addresses=addresses
+            )
+            self.estate.wait("open")
+            self.proxy.tell(do="listen", links=links)
+            self.proxy.wait("listening")
+            self.dispatchers = {
+                n: self._keep(Dispatcher(
+                    n, (programs or {}).get(n, Program()),
+                    self._config(n, number, listens[n], links[f"{n}>source"][0]), folder,
+                ))
+                for number, n in enumerate(names)
+            }  # fmt: skip
+            starts = [threading.Thread(target=self._start, args=(d,)) for d in self.dispatchers.values()]
+            for thread in starts:
+                thread.start()
+            for thread in starts:
+                thread.join()
+            if not all(d.alive for d in self.dispatchers.values()):
+                raise RigError("a dispatcher did not start; see its log")
+            self.clients = self._keep(Child("clients", str(folder)))
+        except BaseException:
+            self.close()
+            raise
+
+    def _keep(self, child: Any) -> Any:
+        self._stack.callback(child.end)
+        return child
+
+    def _start(self, dispatcher: Dispatcher) -> None:
+        try:
+            dispatcher.start()
+        except RigError as error:
+            self._log.error("start", who=dispatcher.name, why=str(error))
+            dispatcher.end()
+
+    def _config(self, name: str, number: int, listen: str, source: str) -> dict[str, Any]:
+        script = self.script
+        settings: dict[str, Any] = {
+            "balancers": script.dispatchers, "me": number, "zones": ["here"], "kinds": ["std"],
+            "classes": [
+                {"name": kind.name, "value": kind.worth, "goal_time": 300.0, "give_up": kind.deadline,
+                 "idempotency": kind.effect, "key_scope": "cell", "repeat_window": script.window}
+                for kind in script.kinds
+            ],
+            "family_info": {
+                "tells_start": True, "progress": script.progress,
+                "class_stretch": [2.0] * len(script.kinds),
+            },
+            "policy_limits": {
+                "cancel": True, "max_attempts": 4, "may_duplicate": False, "may_tell": False,
+                "retry_after": True, "max_retry_after": 1000.0, "dial_timeout": 150.0, "conn_idle": 8000.0,
+            },
+            "rules": {
+                "drain_grace": script.drain_grace, "cold": script.cold, "start_capacity": script.cold_share,
+                "fall": script.fall, "fall_multiple": script.fall_multiple, "answer_slack": 8.0,
+            },
+        }  # fmt: skip
+        for key, value in script.settings.items():
+            settings[key] = {**settings[key], **value} if isinstance(value, Mapping) else value
+        return {
+            "name": name, "listen": listen, "console": self._ports.take(),
+            "discovery": source, "limits": {"sockets": 512, "memory_mb": 192}, "settings": settings,
+        }  # fmt: skip
+
+    # Faults.
+
+    def strike(self, fault: Fault, on: bool = True) -> None:
+        """Carries a fault out, or ends it."""
+        self._log.info("fault" if on else "mended", what=fault.what, who=fault.who)
+        kind = kind_of(fault.who)
+        if kind == "dispatcher":
+            self._strike(self.dispatchers[fault.who], fault, on)
+        elif kind == "link":
+            links = [name for name in self._links if fnmatchcase(name, fault.who)]
+            self.proxy.tell(do=fault.what, on=on, links=links, way=fault.way, value=fault.value)
+            for name in links:
+                self._note(fault.what, name, on, fault.what in ("reset", "half"))
+        else:
+            self.estate.tell(do=fault.what, on=on, who=fault.who, value=fault.value)
+            self._note(fault.what, fault.who, on)
+
+    def _strike(self, dispatcher: Dispatcher, fault: Fault, on: bool) -> None:
+        if on:
+            self._note(fault.what, dispatcher.name, True)
+        match fault.what, on:
+            case "kill", True:
+                dispatcher.signal(signal.SIGKILL)
+                dispatcher.wait()
+            case "term", True:
+                dispatcher.signal(signal.SIGTERM)
+            case "kill" | "term", False:
+                dispatcher.wait()
+                dispatcher.start()
+            case "stop", _:
+                dispatcher.signal(signal.SIGSTOP if on else signal.SIGCONT)
+            case "descriptors", _:
+                most = int(fault.value) if on else 4096
+                with suppress(ProcessLookupError):
+                    resource.prlimit(dispatcher.pid, resource.RLIMIT_NOFILE, (most, 4096))
+        if not on:
+            self._note(fault.what, dispatcher.name, False)
+        if fault.what != "descriptors":
+            timer = threading.Timer(self.script.notice, self._notice, (dispatcher.name, on))
+            timer.daemon = True
+            timer.start()
+
+    def _note(self, what: str, who: str, on: bool, over: bool = False) -> None:
+        now = time.monotonic()
+        if on:
+            self.struck.append(Struck(what, who, now, now if over else inf))
+            return
+        for place, struck in enumerate(self.struck):
+            if struck.what == what and struck.who == who and struck.until == inf:
+                self.struck[place] = Struck(what, who, struck.since, now)
+
+    def _notice(self, name: str, gone: bool) -> None:
+        (self._gone.add if gone else self._gone.discard)(name)
+        with suppress(OSError, ValueError):  # the run may be over
+            self.clients.tell(do="front", well=[n for n in self.dispatchers if n not in self._gone])
+
+    # The run.
+
+    def play(self, between: Callable[[], None] = lambda: None) -> Result:
+        """Plays the script. `between` is called again and again while clients ask."""
+        start = time.monotonic() + LEAD
+        self.clients.tell(
+            do="run", jobs=jobs_of(self.script), start=start, retries=self.script.retries,
+            addresses=self._doors,
+        )  # fmt: skip
+        over = threading.Event()
+        threading.Thread(target=self._wait_for_clients, args=(over,), daemon=True).start()
+        book = Reading(self.folder / "workers.jsonl")
+        begun: list[Event] = []
+        due: list[tuple[float, Fault, bool]] = []
+        due += [(start + float(f.at or 0.0) + f.after, f, True) for f in self.script.faults if not f.on]
+        on_event = [fault for fault in self.script.faults if fault.on]
+        while not over.is_set() or any(not on for _, _, on in due):
+            begun += [e for e in book.more() if e["what"] == "began"]
+            now = time.monotonic()
+            for fault in [f for f in on_event if _has_come(f, begun)]:
+                on_event.remove(fault)
+                due.append((now + fault.after, fault, True))
+            for item in [item for item in due if item[0] <= now]:
+                due.remove(item)
+                _, fault, on = item
+                self.strike(fault, on)
+                if on and fault.lasts:
+                    due.append((now + fault.lasts, fault, False))
+            between()
+            over.wait(POLL)
+        rest = [self._at_rest(dispatcher) for dispatcher in self.dispatchers.values()]
+        self.estate.end()
+        return self._result(start, rest)
+
+    def _wait_for_clients(self, over: threading.Event) -> None:
+        deadline = max(kind.deadline for kind in self.script.kinds) / 1000.0
+        longest = self.script.jobs / self.script.rate + deadline
+        with suppress(RigError, ValueError):
+            self.clients.wait("over", 2.0 * longest + START)
+        over.set()
+
+    def _at_rest(self, dispatcher: Dispatcher) -> AtRest:
+        if not dispatcher.alive:
+            return AtRest(dispatcher.name, 0, 0, 0, 0, dispatcher.wait(0.0))
+        held = [0, 0]
+
+        def quiet() -> bool:
+            figures = dispatcher.figures()
+            held[:] = [figures["inflight"], figures["connections"]["open"]]
+            return held == [0, 0]
+
+        with suppress(RigError, OSError, ValueError):
+            wait_for(f"{dispatcher.name} rests", quiet, AFTER)
+        descriptors = dispatcher.descriptors()
+        dispatcher.signal(signal.SIGTERM)
+        code = dispatcher.wait()
+        return AtRest(dispatcher.name, held[0], held[1], descriptors, dispatcher.descriptors_first, code)
+
+    def _result(self, start: float, rest: list[AtRest]) -> Result:
+        workers, clients = (read(self.folder / f"{name}.jsonl") for name in ("workers", "clients"))
+        findings = judge(self.script, workers, clients, self.struck, rest)
+        result = Result(findings, self.struck, counts_of(workers, clients), start, rest)
+        plain = {
+            "findings": [asdict(f) for f in findings], "counts": result.counts, "start": start,
+            "struck": [{**asdict(s), "until": None if s.until == inf else s.until} for s in self.struck],
+            "rest": [asdict(r) for r in rest],
+        }  # fmt: skip
+        (self.folder / "result.json").write_text(json.dumps(plain, indent=1))
+        return result
+
+    def close(self) -> None:
+        """Ends all that was started."""
+        for dispatcher in getattr(self, "dispatchers", {}).values():
+            with suppress(ProcessLookupError, AssertionError):
+                dispatcher.signal(signal.SIGCONT)
+        self._stack.close()
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+
+def _has_come(fault: Fault, begun: Sequence[Event]) -> bool:
+    by, count = event(fault.on)
+    return sum(1 for e in begun if not by or e["by"] == by) >= count
+
+
+def jobs_of(script: Script) -> list[dict[str, Any]]:
+    """The jobs of a script, each with its time: the same for a seed for ever."""
+    rng = Random(f"eiderfield jobs {script.seed}")
+    shares = [kind.share for kind in script.kinds]
+    found, at = [], 0.0
+    for number in range(script.jobs):
+        at += rng.expovariate(script.rate)
+        [kind] = rng.choices(script.kinds, shares)
+        found.append({
+            "job": f"j{number}", "kind": kind.name, "at": at, "run": rng.uniform(*kind.run),
+            "key": f"k{script.seed}-{number}" if kind.effect == "dedup" else "",
+            "deadline": kind.deadline, "asks_again": kind.asks_again,
+        })  # fmt: skip
+    return found
+
+
+def counts_of(workers: Sequence[Event], clients: Sequence[Event]) -> dict[str, int]:
+    """What the books hold, counted."""
+    served = {e["job"] for e in clients if e["what"] == "answered" and e["status"] == 200}
+    asked = {e["job"] for e in clients}
+    begun: dict[str, int] = {}
+    for e in workers:
+        if e["what"] == "began":
+            begun[e["job"]] = begun.get(e["job"], 0) + 1
+    answered = [e["status"] for e in clients if e["what"] == "answered"]
+    return {
+        "jobs": len(asked), "served": len(served), "tries": sum(e["what"] == "asked" for e in clients),
+        "declined": sum(status in (429, 503) for status in answered), "failed": answered.count(502),
+        "broke": sum(e["what"] == "broke" for e in clients),
+        "left": sum(e["what"] == "left" for e in clients),
+        "begun": sum(begun.values()), "begun_twice": sum(n > 1 for n in begun.values()),
+        "unread": sum(e["what"] == "unread" for e in workers),
+    }  # fmt: skip
+
+
+def play(
+    script: Script, folder: Path, programs: Mapping[str, Program] | None = None,
+    between: Callable[[], None] = lambda: None,
+) -> Result:  # fmt: skip
+    """Plays a script in a folder."""
+    with Fleet(script, folder, programs) as fleet:
+        return fleet.play(between)
--- /dev/null
+++ b/tests/test_fleet_rig.py
@@ -0,0 +1,192 @@
+"""The rig of many processes: its scripts, its checkers on planted faults, and runs with faults."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import pytest
+from click.testing import CliRunner
+from test_program import ROOT
+
+from eiderfield.cli import main
+from eiderfield.lab.fleet.book import Book, Reading, read
+from eiderfield.lab.fleet.pages import write_events, write_page
+from eiderfield.lab.fleet.rules import AtRest, Struck, judge
+from eiderfield.lab.fleet.run import jobs_of, play
+from eiderfield.lab.fleet.script import FAULTS, Fault, Script, ScriptError, checked, draw, told
+from eiderfield.lab.fleet.script import read as read_script
+
+SCRIPT = Script()
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("jobs = -1", "jobs"),
+        ("jobs = true", "jobs"),
+        ("wrokers = 3", "wrokers"),
+        ("settings = 3", "settings"),
+        ("name = 3", "name"),
+        ("x = [", "not TOML"),
+        ("fault = 3", "fault"),
+        ('[[fault]]\nwhat = "kill"\nat = 1', "fault.0.who"),
+        ('[[fault]]\nwhat = "kill"\nwho = "n9"\nat = 1', "fault.0.who"),
+        ('[[fault]]\nwhat = "kill"\nwho = "x"\nat = 1', "fault.0.who"),
+        ('[[fault]]\nwhat = "drain"\nwho = "n0"\nat = 1', "fault.0.what"),
+        ('[[fault]]\nwhat = "cut"\nwho = "n0>n1>w2"\nat = 1', "fault.0.who"),
+        ('[[fault]]\nwhat = "kill"\nwho = "n0"', "fault.0 needs"),
+        ('[[fault]]\nwhat = "kill"\nwho = "n0"\nat = 1\non = "begun:1"', "fault.0 needs"),
+        ('[[fault]]\nwhat = "kill"\nwho = "n0"\non = "ended:1"', "fault.0.on"),
+        ('[[fault]]\nwhat = "kill"\nwho = "n0"\non = "begun:n7:1"', "fault.0.on"),
+        ('[[fault]]\nwhat = "reset"\nwho = "n0>w0"\nat = 1\nlasts = 2', "fault.0.lasts"),
+        ('[[fault]]\nwhat = "cut"\nwho = "n0>w0"\nat = 1\nway = "up"', "fault.0.way"),
+        ('[[fault]]\nwhat = "kill"\nwho = "n0"\nat = -1', "fault.0"),
+        ('[[fault]]\nwhat = "kill"\nwho = 3\nat = 1', "fault.0.who"),
+    ],
+)
+def test_a_faulty_script_is_refused_by_the_name_of_its_key(text, key):
+    with pytest.raises(ScriptError) as error:
+        read_script(text)
+    assert str(error.value).startswith(key)
+
+
+def test_a_seed_draws_the_same_script_and_jobs_for_ever():
+    assert [told(draw(seed)) for seed in range(40)] == [told(draw(seed)) for seed in range(40)]
+    assert {fault.what for seed in range(400) for fault in draw(seed).faults} >= {
+        what for faults in FAULTS.values() for what in faults if what != "descriptors"
+    }
+    assert jobs_of(SCRIPT) == jobs_of(SCRIPT) != jobs_of(replace(SCRIPT, seed=2))
+
+
+def came(t, id_="a", worker="w0", by="n0", **more):
+    event = {"t": t, "what": "came", "id": id_, "job": "j", "worker": worker, "by": by}
+    return {**event, "run": 100.0, "share": 1.0, **more}
+
+
+def began(t, id_="a", kind="lookup", worker="w0", group=0):
+    return {"t": t, "what": "began", "id": id_, "job": "j", "kind": kind, "worker": worker, "by": "n0",
+            "group": group, "key": ""}  # fmt: skip
+
+
+def asked(t=1.0, id_="a", kind="lookup"):
+    return {"t": t, "what": "asked", "id": id_, "job": "j", "kind": kind, "at": "n0", "left": 5.0}
+
+
+def answered(t=2.0, status=200, result="w0:1:j", kind="lookup"):
+    return {"t": t, "what": "answered", "id": "a", "job": "j", "kind": kind, "at": "n0", "status": status,
+            "result": result}  # fmt: skip
+
+
+ENDED = {"t": 1.9, "what": "ended", "id": "a", "job": "j", "worker": "w0", "by": "n0", "result": "w0:1:j"}
+TOLD = {"t": 0.0, "what": "told", "to": "n0", "workers": {"w0": "DRAINING"}}
+MENDED = {"t": 0.0, "what": "mended", "fault": "restart", "worker": "w0"}
+WELL = AtRest("n0", 0, 0, 20, 12, 0)
+PLANTED = {
+    "answered": ([], [asked()], [], []),
+    "answered, broke": ([], [asked(), {**asked(2.0), "what": "broke"}], [Struck("kill", "n1", 0.0)], []),
+    "made": ([ENDED], [asked(), answered(result="w0:2:j")], [], []),
+    "made for another": ([{**ENDED, "job": "k"}], [asked(), answered()], [], []),
+    "once": ([began(1.0, kind="confirm"), began(1.5, kind="confirm")], [], [], []),
+    "once, groups": ([began(1.0, kind="report"), began(1.5, kind="report", group=1)], [], [], []),
+    "copies": ([came(1.0), came(1.1, worker="w1")], [], [], []),
+    "declined": ([began(1.0, kind="confirm")], [asked(), answered(status=503, kind="confirm")], [], []),
+    "drain": ([TOLD, came(1.0)], [], [], []),
+    "cold": ([MENDED, *[came(1.0 + n / 1000, id_=str(n), share=0.3) for n in range(40)]], [], [], []),
+    "rest": ([], [], [], [replace(WELL, inflight=1)]),
+    "rest, descriptors": ([], [], [], [replace(WELL, descriptors=90)]),
+    "ends": ([], [], [], [replace(WELL, code=-9)]),
+}
+
+
+@pytest.mark.parametrize("planted", PLANTED)
+def test_each_rule_finds_what_breaks_it_and_nothing_else(planted):
+    found = judge(SCRIPT, *PLANTED[planted])
+    assert {finding.rule for finding in found} == {planted.partition(",")[0].split()[0]}
+
+
+@pytest.mark.parametrize(
+    ("workers", "clients", "struck", "rest"),
+    [
+        ([came(1.0), began(1.1), ENDED], [asked(), answered()], [], [WELL]),
+        ([], [asked(), {**asked(2.0), "what": "broke"}], [Struck("kill", "n0", 1.5)], []),
+        ([], [asked(), {**asked(6.0), "what": "left"}], [Struck("cut", "c>n0", 0.5, 4.0)], []),
+        ([came(1.0), {**ENDED, "what": "dropped", "t": 1.05}, came(1.1, worker="w1")], [], [], []),
+        ([TOLD, came(0.4)], [], [], []),
+        ([TOLD, came(1.0)], [], [Struck("cut", "n0>source", 0.0, 2.0)], []),
+        ([TOLD, {**TOLD, "t": 0.5, "workers": {"w0": "SERVING"}}, came(1.0)], [], [], []),
+        ([began(1.0)], [asked(), answered(status=503)], [], []),
+        ([MENDED, came(1.0, share=0.3)], [], [], []),
+        ([], [], [Struck("kill", "n0", 1.0)], [replace(WELL, code=-9)]),
+    ],
+)
+def test_what_is_allowed_or_excused_is_no_finding(workers, clients, struck, rest):
+    assert judge(SCRIPT, workers, clients, struck, rest) == []
+
+
+def test_a_book_is_read_while_it_is_written_and_no_half_line(tmp_path):
+    path = tmp_path / "b.jsonl"
+    reading = Reading(path)
+    assert reading.more() == []
+    book = Book(path)
+    book.write("one")
+    with path.open("a") as file:
+        file.write('{"t": 1, "what"')
+    assert [event["what"] for event in reading.more()] == ["one"] and reading.more() == []
+    with path.open("a") as file:
+        file.write(': "two"}\n')
+    assert [event["what"] for event in reading.more()] == ["two"]
+    assert len(read(path)) == 2
+
+
+SMALL = Script(dispatchers=2, workers=4, cell=2, jobs=60, rate=40.0, notice=0.3)
+RUNS = {
+    "killed at its fifth leg": (Fault("kill", "n0", on="begun:n0:5"),),
+    "stopped with legs out": (Fault("stop", "n1", on="begun:10", lasts=1.5),),
+    "cut off from half of the workers": (
+        Fault("cut", "n0>w0", at=0.3, lasts=1.0), Fault("cut", "n0>w1", at=0.3, lasts=1.0),
+    ),
+    "a worker restarts while one dispatcher is told to end": (
+        Fault("restart", "w1", on="begun:8", lasts=0.3), Fault("term", "n1", on="begun:15", lasts=0.5),
+    ),
+    "every leg's connection broken at once, and discovery silent": (
+        Fault("reset", "n*>w*", on="begun:20"), Fault("silent", "source", at=0.1, lasts=1.0),
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", RUNS)
+def test_the_rules_hold_while_processes_fail(name, tmp_path):
+    result = play(checked(replace(SMALL, name=name, faults=RUNS[name])), tmp_path / "run")
+    assert result.findings == []
+    assert result.counts["jobs"] == SMALL.jobs
+    assert len(result.struck) >= len(RUNS[name])
+    if "stopped" in name:
+        assert result.counts["begun_twice"] == 0, "it judged by its own absence"
+
+
+def test_a_run_leaves_its_events_and_a_page(tmp_path):
+    import pyarrow.parquet as parquet
+
+    folder = tmp_path / "run"
+    play(replace(SMALL, jobs=10, faults=(Fault("kill", "n0", on="begun:2"),)), folder)
+    table = parquet.read_table(write_events(folder))
+    assert table.num_rows > 20 and set(table.column("book").to_pylist()) == {"workers", "clients"}
+    page = write_page(folder).read_text()
+    assert "<svg" in page and "kill n0" in page and "<script" not in page and "<link" not in page
+    assert json.loads((folder / "result.json").read_text())["counts"]["jobs"] == 10
+
+
+def test_the_command_says_what_is_wrong_with_a_script(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text("jobs = 0")
+    told_ = CliRunner().invoke(main, ["lab", "fleet", "run", str(path)])
+    assert told_.exit_code == 2 and "jobs is not from 1" in told_.output
+    assert CliRunner().invoke(main, ["lab", "fleet", "run"]).exit_code == 2
+    assert CliRunner().invoke(main, ["lab", "fleet", "run", "--seeds", "x"]).exit_code == 2
+    assert json.loads(CliRunner().invoke(main, ["lab", "fleet", "draw", "4"]).output)["seed"] == 4
+
+
+def test_the_example_is_a_script():
+    script = read_script((ROOT / "deploy" / "fleet-stopped.toml").read_text())
+    assert script.faults == (Fault("stop", "n1", on="begun:60", lasts=4.0),)
