Ask discovery again within what counts as told, after whatever failures

Seen: read in net/turns.py and borne out by tests on a driven clock against a source that refuses, hangs, is silent, ends early, is reset, answers 503 or garbage, sends half a line or dribbles. Any byte counted as a sign of life, so a source that dribbled one was never left. An old source that ended after SIGHUP was not dialled again while the new one refused: nobody told of drains. A list that came indented was garbage each time it came.

Ruled out: a silent source (a call was always waiting within 0.3 s; the test of that passes before and after).

At fault: Turns.next and MOST_EACH in net/turns.py; Watcher.data, Follower.leave and Follower.start in net/routing.py.

Change: one bound on all waits, a sum that the module's opening states (4.4 s + 1 s for the dial + 0.6 s for the list); after a list the first call comes in the dispatcher's own turn, within 0.3 s; only whole lists and empty lines are signs of life; values are cut by brackets, not lines; the old source is followed until the new one has told its list, and `leave` is gone.

Against the old modules with the new names put in 42 cases failed (15 of them for want of the class that cuts values), among them all of dribbling, those of refused, ended, reset and 503 at 200 sharers after 31.7 s, and watches that break at 40 and 200. Run: the whole suite with the modules, 1,115 passed and the two old forms of the garbage test failed; with these replaced, the six files of discovery and fleets, 314 passed.

--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from math import inf, isfinite
@@ -15,13 +16,14 @@
 from eiderfield.interface import Entry, ListKind, State
 from eiderfield.net.bans import Bans, parse
 from eiderfield.net.http import Head, Malformed, Parser, request_bytes
-from eiderfield.net.turns import Turns
+from eiderfield.net.turns import DIAL, Turns
 from eiderfield.net.worker import Address, Dial, Dialling, WorkerSide
 
-DIAL = 1000.0  # ms that a connection to the source may take to come up
 SILENCE = 2600.0  # ms without even an empty line, which comes every 2 s, until the watch is opened anew
 MAX_LIST = 4 * 1024 * 1024  # bytes of one list: thousands of workers
+MAX_DEPTH = 64  # brackets open in a list, which has three
 
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 _STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 _SCRATCH = memoryview(bytearray(65536))
 
@@ -274,7 +276,6 @@
         self._dial = dial
         self._dialling: Dialling | None = None
         self._timer: Timer | None = None
-        self._leaving = False
 
     def message(self) -> bytes:
         """The next request."""
@@ -304,28 +305,18 @@
 
     def start(self) -> None:
         """Opens a feed."""
-        if self._leaving:
-            return
-        if wait := self.turns.pace(self.clock()):
-            self.arm(wait, self.start)
-        else:
-            feed = self.feed = Feed(self)
-            self.text.clear()
-            self.arm(DIAL, lambda: self.lost(feed, "it cannot be reached in time", silent=True))
-            self._dialling = self._dial(feed, self.address, lambda: self.lost(feed, "it cannot be reached"))
+        feed = self.feed = Feed(self)
+        self.text.clear()
+        self.arm(DIAL, lambda: self.lost(feed, "it cannot be reached in time", silent=True))
+        self._dialling = self._dial(feed, self.address, lambda: self.lost(feed, "it cannot be reached"))
 
     def up(self, feed: Feed) -> None:
         """A feed's connection has come up."""
         if feed is self.feed:
             self._listen(feed)
 
-    def leave(self) -> None:
-        """Another source takes over: the present feed is heard out, but none is opened after it."""
-        self._leaving = True
-
     def stop(self) -> None:
         """Ends the feed for good."""
-        self.leave()
         self._drop()
         if self._timer is not None:
             self._timer.cancel()
@@ -350,10 +341,7 @@
         if feed.closed or feed is not self.feed:
             return
         self._drop()
-        if self._leaving:
-            self.log(f"discovery: {why}; another source is about to take over")
-            return
-        wait = self.turns.silent() if silent else self.turns.next()
+        wait = self.turns.silent() if silent else self.turns.next(self.clock())
         self.log(f"discovery: {why}; following again after index {self.table.index} in {wait:.0f} ms")
         self.arm(wait, self.start)
 
@@ -371,6 +359,59 @@
             self._dialling = None
 
 
+class Lines:
+    """Cuts a stream into JSON values and the empty lines between them.
+
+    A value may stand on several lines, for lists come indented, and is whole with its last bracket, whether
+    or not its line has ended."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._text = bytearray()  # the lines, all whole, of a value that is not
+        self._line = bytearray()  # of which no end has come
+        self._depth = 0  # brackets open in `_text`
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The values that this completes, and an empty text for each empty line between two."""
+        found: list[bytes] = []
+        self._line += data
+        while (end := self._line.find(b"\n")) >= 0:
+            line = bytes(self._line[: end + 1])
+            del self._line[: end + 1]
+            if not self._depth and not line.strip():
+                found.append(b"")
+                continue
+            self._text += line
+            self._depth += _opened(line)
+            if self._depth <= 0:  # whole, or no JSON at all
+                found.append(self._cut())
+        if self._line.endswith((b"}", b"]")) and self._ends():
+            self._text += self._line
+            self._line.clear()
+            found.append(self._cut())
+        if len(self._text) + len(self._line) > self._most:
+            raise Malformed("a list is too long")
+        if self._depth > MAX_DEPTH:
+            raise Malformed("a list is too deep")
+        return found
+
+    def _ends(self) -> bool:
+        """Whether a line that has not ended closes all that is open, and not within a text."""
+        return b'"' not in _STRING.sub(b"", self._line) and self._depth + _opened(self._line) == 0
+
+    def _cut(self) -> bytes:
+        text = bytes(self._text)
+        self._text.clear()
+        self._depth = 0
+        return text
+
+
+def _opened(line: bytes | bytearray) -> int:
+    """How many brackets a line leaves open; below 0, closes."""
+    bare = _STRING.sub(b"", line)
+    return sum(bare.count(mark) for mark in (b"{", b"[")) - sum(bare.count(mark) for mark in (b"}", b"]"))
+
+
 class Watcher(Follower):
     """The platform's watch: one answer that stays open, with a line for each change."""
 
@@ -383,17 +424,22 @@
         host, port = self.address
         return request_bytes("GET", f"/v1/endpoints?watch=1{after}", f"{host}:{port}")
 
+    def start(self) -> None:
+        """Opens a feed, which begins with a whole line."""
+        self._lines = Lines(MAX_LIST)
+        super().start()
+
     def data(self, data: bytes) -> None:
-        """Applies each line as it is complete; an empty one is only a sign of life."""
-        self.heard()
-        super().data(data)
-        while (end := self.text.find(b"\n")) >= 0:
-            line = bytes(self.text[:end])
-            del self.text[: end + 1]
-            if line.strip():
-                self.table.load(json.loads(line))
+        """Applies each list as it is complete; an empty line is only a sign of life. What never becomes whole
+        is none: a source that dribbles tells nobody anything."""
+        for text in self._lines.feed(data):
+            if text:
+                self.table.load(json.loads(text))
                 self.whole = False
+                self.heard()
                 self.told()
+            else:
+                self.heard()
 
     def end(self) -> None:
         """A watch has no end of its own."""
@@ -403,8 +449,8 @@
 class Following:
     """The follower in force and, after a new configuration, the one that is to take its place.
 
-    The old source is heard until the new one has told a list, or ends by itself: in between, a drain may be
-    told. Should the new one never speak, the table stays as it was.
+    The old source is followed, and opened anew where it breaks, until the new one has told a list: in
+    between, a drain may be told, and the new one may never speak.
     """
 
     def __init__(self) -> None:
@@ -420,7 +466,6 @@
             self.stop()
             self._current = follower
         else:
-            self._current.leave()
             self._next = follower
             follower.first = self._take_over
         if follower is not None:
