Send nothing for a client that went behind its request or while it was not read

Seen: read in net/acquirer.py and net/loop.py, forced on real sockets. (1) A connection is not read while more than 16 KiB wait behind a job, or while the client leaves its answers unread; a paused transport tells of no close, so the job stayed out and each of those behind it was sent on. (2) Request and close in the socket together: the poll tells of one at a time, and the turn, asked for by the first, ran before the second was read: the request was written to a worker on an idle connection.

Ruled out: departures while a job is held, dialled or queued behind a claim (`withdraw` stops the leg, `may_write` refuses it); a close in the same poll as a worker's dial coming up is within the 0.1 s allowed.

At fault: Acquirer.buffer_updated and _choke (pause_reading), Driver.wake (the turn at the next round).

Change: connections that are not read are watched for EPOLLRDHUP alone in one poll set (net/departures.py); a turn comes after one more poll. The console counts `departed`.

--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -26,6 +26,7 @@
 from eiderfield.exchange import Answer, Authorisation, Exchange, Timer, Timers, Verdict
 from eiderfield.idmap import IdMap, plain
 from eiderfield.interface import Effect
+from eiderfield.net.departures import Departures
 from eiderfield.net.http import Head, Malformed, Parser, answer_bytes
 
 CLOSED_AT_ONCE = 1024  # parked connections closed in one look at the program's end, some 10 ms
@@ -145,14 +146,18 @@
         if self.phase == Phase.READING:
             self.door.heard(self)
             self._take()
-        elif self._parser.buffered > PIPELINED and self._transport is not None:
-            self._transport.pause_reading()
+        elif self._parser.buffered > PIPELINED:
+            self._pause()
 
     def eof_received(self) -> bool:
+        self._departed()
+        return False
+
+    def _departed(self) -> None:
+        """The client has closed, or has ended its sending: nobody waits any more."""
         self.connection_lost(None)
         if self._transport is not None:
             self._transport.abort()
-        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.phase == Phase.CLOSED:
@@ -160,9 +165,11 @@
         self.phase = Phase.CLOSED
         self._disarm()
         self._over()
+        self._watch(False)
         self.door.forget(self)
         gone, self._gone = self._gone, None
         if gone is not None:
+            self.door.departed += 1
             gone()
 
     def pause_writing(self) -> None:
@@ -203,7 +210,7 @@
         if self.door.heir is not None:  # the next process serves it from now on, once this call is over
             self.door.timers.at(self.since, partial(self.door.pass_on, self))
         if not self._choked:
-            self._transport.resume_reading()
+            self._read_on()
         if not self._taking:  # else its loop goes on: thousands of pipelined messages must not nest
             self._take()
 
@@ -250,6 +257,7 @@
             self._disarm()
             self._over()
             self.phase = Phase.CLOSED
+            self._watch(False)
             self.door.forget(self)
             if self._transport is not None:
                 self._transport.abort()
@@ -264,7 +272,7 @@
             with suppress(OSError):
                 self._transport.write_eof()
             if not self._choked:
-                self._transport.resume_reading()
+                self._read_on()
         self._timer = self.door.timers.at(self.door.clock() + LINGER, self.abort)
 
     def _reject(self, error: Malformed, retry_after: float = 0.0) -> None:
@@ -395,11 +403,31 @@
         if self._transport is None:
             return
         if choked:
-            self._transport.pause_reading()
+            self._pause()
         elif self.phase in (Phase.READING, Phase.LINGERING):
-            self._transport.resume_reading()
+            self._read_on()
             self._take()
 
+    def _pause(self) -> None:
+        """Reads no more for now. A transport that is not read tells of no departure, so it is watched."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+            self._watch(True)
+
+    def _read_on(self) -> None:
+        if self._transport is not None:
+            self._watch(False)
+            self._transport.resume_reading()
+
+    def _watch(self, watched: bool) -> None:
+        departures = self.door.departures
+        if departures is None or self._sock is None or (fd := self._sock.fileno()) < 0:
+            return
+        if watched and self.phase != Phase.CLOSED:
+            departures.watch(fd, self._departed)
+        else:
+            departures.forget(fd)
+
 
 class Door:
     """A listener with its connections, within the descriptors they may take."""
@@ -435,6 +463,8 @@
         self._full = False
         self.resting = False  # whether another process takes who connects
         self._joining: set[asyncio.Task[None]] = set()
+        self.departures: Departures | None = None  # of connections that are not read for now
+        self.departed = 0  # clients that went while a job of theirs was in hand
         self._lot: Lot | None = None
         self._unparked = False  # whether the system has refused a poll set
         self.log: Callable[[str], None] = lambda text: None  # told once of what the system refuses
@@ -569,6 +599,9 @@
             self._lot = None
         for acquirer in list(self._acquirers):
             acquirer.close()
+        if self.departures is not None:
+            self.departures.close()
+            self.departures = None
 
     # Parked connections.
 
@@ -577,6 +610,7 @@
         lot = self._lot
         return {
             "open": self.connections,
+            "departed": self.departed,
             "parked": self.parked,
             "woken": lot.woken if lot is not None else 0,
             "expired": lot.expired if lot is not None else 0,
@@ -596,6 +630,8 @@
     def idle(self, idling: Idling) -> None:
         """Sets how long connections may idle, for those that are parked already too."""
         self.idling = idling
+        if self._loop is not None and self.departures is None:
+            self.departures = Departures(self._loop)
         if self._loop is not None and self._lot is None and idling.park_after < inf:
             try:
                 self._lot = Lot(self._left)
--- a/eiderfield/net/loop.py
+++ b/eiderfield/net/loop.py
@@ -50,11 +50,14 @@
         self._dialling: set[asyncio.Task[None]] = set()
 
     def wake(self) -> None:
-        """Asks for a turn of the exchange after all that this turn of the loop brings in."""
+        """Asks for a turn of the exchange after all that this turn of the loop and the next poll bring in.
+
+        A poll tells of a socket once: who sends a request and closes is read first, and heard to have gone
+        only after the next poll. A turn between the two would send for nobody."""
         if not self._turn_asked:
             self._turn_asked = True
             self._turn_due = self.clock()
-            self._loop.call_soon(self._turn)
+            self._loop.call_soon(self._loop.call_soon, self._turn)
 
     def _reads_first(self, due: float, again: Callable[[], None]) -> bool:
         """Whether there was a gap: then what has come is read first, and `again` is called after that."""
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,110 @@
+"""Clients that go: nothing is sent for them from then on, whatever the dispatcher was doing with them."""
+
+import socket
+
+import pytest
+from test_parking import House, Phone, message
+
+from eiderfield.net.acquirer import AT_ONCE, PIPELINED
+from eiderfield.net.loop import Driver
+
+
+@pytest.fixture
+def house():
+    house = House()
+    yield house
+    house.close()
+
+
+def driven(house):
+    """The house's exchange is given its turns by the driver, on the house's loop."""
+    driver = Driver(house.loop, house.desk.clock)
+    house.desk.exchange._wake = driver.wake
+    driver.turn = house.desk.exchange.turn
+    return driver
+
+
+def test_a_request_whose_client_has_gone_behind_it_is_not_sent(house):
+    """Request and close were both in the socket. The poll told of one at a time, and the turn came between:
+    the request was written to a worker on an idle connection for somebody who had gone."""
+    first = Phone(house)
+    assert first.ask("r0") == [200]
+    [end] = house.desk.ends
+    driven(house)
+    for number in range(3):
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        ours.send(message(f"r{number + 1}"))
+        ours.close()
+        house.door._listener.waiting.append((theirs, ("192.0.2.1", 1)))
+        house.door._accept()
+        house.turn(12)
+    assert not house.desk.dials and end.take() == [] and not house.desk.exchange.unanswered
+    assert house.door.figures()["departed"] == 3
+    assert first.send(message("r9")) and (house.turn(12) or end.take() == ["r9"]), "who stays is served"
+
+
+@pytest.mark.parametrize("how", ["closes", "ends its sending", "resets"])
+def test_a_client_that_goes_with_much_unread_is_noticed_while_it_is_not_read(house, how):
+    """With 16 KiB of further messages waiting the connection was not read, and a connection that is not read
+    tells of no close: the job stayed out, and all that waited behind it was sent on for nobody."""
+    phone = Phone(house)
+    phone.send(message("r0"))
+    house.turn()
+    [dial] = house.desk.dials
+    end = dial.up()
+    assert end.take() == ["r0"]
+    number = 0
+    while phone_takes(phone, message(f"more{number}")) and number < 2 * PIPELINED // len(message()):
+        number += 1
+        house.turn(1)
+    [acquirer] = house.door._acquirers
+    assert not acquirer._transport.is_reading()
+    if how == "closes":
+        phone.sock.close()
+    elif how == "ends its sending":
+        phone.sock.shutdown(socket.SHUT_WR)
+    else:
+        phone.sock.shutdown(socket.SHUT_RDWR)
+    house.turn()
+    assert not end.pipe.open and not house.desk.exchange.unanswered and not house.door._acquirers
+    house.pass_time(2000.0)
+    assert not house.desk.dials and end.came == ["r0"]
+
+
+def phone_takes(phone, data):
+    try:
+        phone.send(data)
+    except BlockingIOError:
+        return False
+    return True
+
+
+def test_who_sends_much_and_stays_is_answered_whole_and_watched_no_more(house):
+    phone, count, statuses = Phone(house), 0, []
+    while phone_takes(phone, message(f"m{count}")):
+        count += 1
+        house.turn(count % AT_ONCE == 0)
+    assert count * len(message()) > PIPELINED
+    assert house.door.departures._watched
+    while len(statuses) < count:
+        house.work()
+        house.pass_time(5.0)
+        statuses += phone.statuses()
+    assert statuses == [200] * count and phone.open and not house.door.departures._watched
+    phone.sock.close()
+    house.turn()
+    assert not house.door._acquirers
+
+
+def test_a_client_that_leaves_its_answer_unread_and_goes_is_noticed(house):
+    """While its writes stand still it is not read either."""
+    phone = Phone(house)
+    phone.send(message("r0"))
+    house.turn()
+    end = house.desk.dials[0].up()
+    [acquirer] = house.door._acquirers
+    acquirer.pause_writing()
+    phone.sock.close()
+    house.turn()
+    assert not house.door._acquirers and not house.desk.exchange.unanswered and not end.pipe.open
