Close as after a last answer, and end by the settings' deadlines

A quiet connection was looked at for unread bytes and closed in the loop's next turn; a request in between made the close a reset, in front of a client that had not read its last answer yet. In a full house who was being told why it may not stay was closed first, its answer still on the way. The times after SIGTERM (0.7, 1.5, 3.2 s) were those of deadlines of 3 s and more; a kill may follow after the longest deadline and 0.7 s, so with deadlines of 1 s it comes after 1.7 s.

Ruled out: TCP_NODELAY (asyncio sets it on every connection); parked connections, closed where nothing is unread: their last answer is 5 s old; closing over input thrown away (it is read on until 256 KiB or 1 s).

At fault: Acquirer.close and spare in net/acquirer.py; ACCEPTING, STAYING and LAST in __main__.py.

Change: one way to close whoever was ever answered: end the sending, read and throw away, up to a bound, then close. What is told its last answer gives way once that has arrived, or after 0.5 s. Times of the end are reckoned from the settings (net/ending.py), as before for deadlines of 3 s and more. The console counts `discarded`.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -31,6 +31,7 @@
 from eiderfield.net.acquirer import AuthorisationFront, Door, Front
 from eiderfield.net.bans import Bans
 from eiderfield.net.console import WAIT, ConsoleFront
+from eiderfield.net.ending import Ending
 from eiderfield.net.handover import Handover
 from eiderfield.net.link import Ear, reach
 from eiderfield.net.loop import Clock, Driver
@@ -43,9 +44,6 @@
 if TYPE_CHECKING:
     from eiderfield.custody.keeper import Keeper
 
-ACCEPTING = 700.0  # ms after SIGTERM for which new connections are still taken
-STAYING = 1500.0  # ms after SIGTERM for which clients may go on using the connections they have
-LAST = 3200.0  # ms after SIGTERM at which what arrived after ACCEPTING has its answer; a kill may follow
 # What a reload takes up; a change of anything else is named by its key.
 RELOADED = {"discovery", "known", "seed", "idling", "admission", "site", "dial_timeout", "conn_idle"}
 FIXED = {
@@ -290,13 +288,14 @@
         """Begins the end: taken jobs are answered, and clients are asked to go elsewhere."""
         if not any(door.draining for door, _ in self._doors):
             now, at = self._driver.clock(), self._driver.wheel.at
+            end = Ending.of(max(cls.deadline for cls in self._config.site.classes))
             for door, _ in self._doors:
                 door.draining = True
-            at(now + ACCEPTING, partial(self._close_doors, now + LAST))
+            at(now + end.accepting, partial(self._close_doors, now + end.last))
             # Where the others are restarting too, clients sent away at once would have nowhere to go.
-            at(now + STAYING, self._leave)
+            at(now + end.staying, self._leave)
             if self._keeper is not None:
-                at(now + LAST, self._keeper.leave)
+                at(now + end.last, self._keeper.leave)
             if self._handover.given:  # the next process takes who connects and who is connected
                 for door, _ in self._doors:
                     door.stop_listening()
--- a/eiderfield/crowd/lot.py
+++ b/eiderfield/crowd/lot.py
@@ -31,7 +31,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from fcntl import ioctl
-from termios import FIONREAD
+from termios import FIONREAD, TIOCOUTQ
 
 from eiderfield.crowd.roster import Roster
 
@@ -53,9 +53,18 @@
 
 def unread(fd: int) -> int:
     """How many bytes lie unread in a socket; 0 for one that is broken."""
+    return _asked(fd, FIONREAD)
+
+
+def unsent(fd: int) -> int:
+    """How many bytes written to a socket have not arrived at the other end; 0 for one that is broken."""
+    return _asked(fd, TIOCOUTQ)
+
+
+def _asked(fd: int, request: int) -> int:
     count = array("i", [0])
     with suppress(OSError, ValueError):
-        ioctl(fd, FIONREAD, count)
+        ioctl(fd, request, count)
     return count[0]
 
 
--- a/eiderfield/net/acquirer.py
+++ b/eiderfield/net/acquirer.py
@@ -21,7 +21,7 @@
 from typing import Protocol
 
 from eiderfield.crowd.governor import ORDER, Governor, Kind, Limit, Refusal
-from eiderfield.crowd.lot import Lot, Woken, unread
+from eiderfield.crowd.lot import Lot, Woken, unread, unsent
 from eiderfield.crowd.settings import WHOLE, Admission, Idling
 from eiderfield.exchange import Answer, Authorisation, Exchange, Timer, Timers, Verdict
 from eiderfield.idmap import IdMap, plain
@@ -114,6 +114,7 @@
         self._taking = False
         self._choked = False  # whether nothing more is taken for now
         self._thrown = 0
+        self._answered = given is not None  # whether it was ever answered
         if given is not None:
             self._parser.feed(given.begun)
         self._limit(self.since)
@@ -135,6 +136,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.phase == Phase.LINGERING:
+            self.door.discarded += not self._thrown
             self._thrown += nbytes
             if self._thrown > LINGER_BYTES and self._transport is not None:
                 self._transport.pause_reading()
@@ -200,6 +202,7 @@
         keep = keep and self._head.keeps and (not self.door.leaving or self._parser.buffered > 0)
         self._transport.write(answer_bytes(status, body, keep, **headers))
         self._head = None
+        self._answered = True
         if not keep:
             self._linger()
             return
@@ -224,8 +227,9 @@
     @property
     def spare(self) -> bool:
         """Whether this connection may give way to another."""
-        if self.phase == Phase.LINGERING:
-            return True
+        if self.phase == Phase.LINGERING:  # until its last answer has arrived
+            now = self.door.clock()
+            return now >= self._from + YOUNG or self._sock is None or not unsent(self._sock.fileno())
         return self.quiet or (not self.proven and self.door.clock() >= self._heard + YOUNG)
 
     def let_go(self) -> tuple[int, Given] | None:
@@ -243,11 +247,14 @@
         return self._sock.detach(), given
 
     def close(self) -> None:
-        """Closes the connection once what was written to it has left."""
-        if self.phase == Phase.CLOSED:
+        """Ends a connection on which nothing is owed.
+
+        A request may cross this, and a close over unread bytes is a reset, which takes answers along that the
+        client has not read yet: so whoever was ever answered is ended as after a last answer."""
+        if self.phase in (Phase.CLOSED, Phase.LINGERING):
             return
-        if self._transport is not None and self._transport.get_write_buffer_size():
-            self._linger()  # a client that never reads must not hold its descriptor for ever
+        if self._answered or (self._transport is not None and self._transport.get_write_buffer_size()):
+            self._linger()
         else:
             self.abort()
 
@@ -265,6 +272,7 @@
     def _linger(self) -> None:
         """Ends the sending and throws input away, for closing on unread input would take the answer back."""
         self.phase = Phase.LINGERING
+        self._from = self.door.clock()
         self._disarm()
         self._over()
         self.door.idles(self)
@@ -464,6 +472,7 @@
         self.resting = False  # whether another process takes who connects
         self._joining: set[asyncio.Task[None]] = set()
         self.departures: Departures | None = None  # of connections that are not read for now
+        self.discarded = 0  # connections closed of whose input some was thrown away
         self.departed = 0  # clients that went while a job of theirs was in hand
         self._lot: Lot | None = None
         self._unparked = False  # whether the system has refused a poll set
@@ -598,7 +607,7 @@
             self._lot.close()
             self._lot = None
         for acquirer in list(self._acquirers):
-            acquirer.close()
+            acquirer.abort()
         if self.departures is not None:
             self.departures.close()
             self.departures = None
@@ -611,6 +620,7 @@
         return {
             "open": self.connections,
             "departed": self.departed,
+            "discarded": self.discarded,
             "parked": self.parked,
             "woken": lot.woken if lot is not None else 0,
             "expired": lot.expired if lot is not None else 0,
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,116 @@
+"""Closing: bytes that cross it take no answer along, and nothing that is read after it is sent on."""
+
+import pytest
+from test_parking import IDLING, House, Phone, message
+
+from eiderfield.crowd.settings import Idling
+from eiderfield.net.acquirer import LINGER, YOUNG, Phase
+from eiderfield.net.ending import ACCEPTING, LONGEST, MARGIN, TO_KILL, Ending
+from eiderfield.net.wheel import TICK
+
+KEPT = Idling(keep=60_000.0)  # nobody is parked
+
+
+@pytest.fixture
+def house():
+    house = House(KEPT)
+    yield house
+    house.close()
+
+
+def served(house, id_="r0"):
+    """A client whose answer has left and is not read by it yet."""
+    phone = Phone(house)
+    phone.send(message(id_))
+    house.turn()
+    house.work()
+    return phone
+
+
+def rest(phone):
+    """All that comes until the end; raises `ConnectionResetError` where that is a reset."""
+    data = b""
+    while more := phone.sock.recv(65536):
+        data += more
+    return data
+
+
+@pytest.mark.parametrize("why", ["the program ends", "it has idled for too long"])
+def test_a_request_that_crosses_a_close_resets_nothing_and_is_not_sent_on(house, why):
+    """Looked at for unread bytes, closed in the loop's next turn: a request in between made the close a
+    reset, which took the last answer along where the client had not read it yet."""
+    phone = served(house)
+    if why == "the program ends":
+        house.door.leaving = True
+        house.door.close_quiet()
+    else:
+        [acquirer] = house.door._acquirers
+        house.desk.now += KEPT.keep
+        acquirer._late()
+    phone.send(message("r1"))  # after the look, before the loop's next turn
+    house.turn()
+    assert rest(phone).startswith(b"HTTP/1.1 200 ")
+    assert not house.desk.exchange.unanswered and [end.came for end in house.desk.ends] == [["r0"]]
+    assert house.door.figures()["discarded"] == 1
+    phone.sock.close()
+    house.turn()
+    assert not house.door._acquirers, "the client's own close ends it"
+
+
+def test_who_neither_reads_nor_closes_is_closed_after_the_lingering(house):
+    phone = served(house)
+    house.door.close_quiet()
+    house.turn()
+    assert house.door._acquirers
+    house.pass_time(LINGER + 2 * TICK)
+    assert not house.door._acquirers and rest(phone).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_last_answer_that_is_on_its_way_gives_way_to_nobody_for_a_while():
+    """A full house closed first who was being told why it may not stay."""
+    house = House(KEPT, most=1)
+    phone = Phone(house)
+    phone.send(b"POST /none HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+    house.turn()
+    [acquirer] = house.door._acquirers
+    assert acquirer.phase == Phase.LINGERING
+    assert not house.door.make_room(), "its answer has not arrived"
+    house.pass_time(YOUNG + 2 * TICK)
+    assert house.door.make_room()
+    house.turn()
+    assert phone.statuses() == [404]
+    house.close()
+
+
+def test_a_lingering_connection_whose_answer_has_arrived_gives_way_at_once():
+    house = House(KEPT, most=1)
+    phone = Phone(house)
+    phone.send(b"POST /none HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+    house.turn()
+    assert phone.statuses() == [404]
+    assert house.door.make_room()
+    house.close()
+
+
+def test_parked_connections_are_closed_as_others_are():
+    house = House(IDLING)
+    [phone] = house.parked()
+    house.door.leaving = True
+    house.door.close_quiet()
+    phone.sock.settimeout(0)
+    house.turn()
+    assert rest(phone) == b"" and not house.door.connections
+    house.close()
+
+
+@pytest.mark.parametrize("longest", [50.0, 200.0, 500.0, 1000.0, 2000.0, 3000.0, 12_000.0, 600_000.0])
+def test_whatever_the_deadlines_are_all_is_answered_before_a_kill_may_come(longest):
+    """SIGKILL follows SIGTERM after the longest deadline, 3 s at the most, and 0.7 s: the times of the end
+    were those of deadlines of 3 s and more, whatever the settings said."""
+    end = Ending.of(longest)
+    kill = min(longest, LONGEST) + TO_KILL
+    assert 0.0 < end.accepting <= end.staying < end.last < kill
+    assert kill - end.last >= min(MARGIN, 0.2 * kill)
+    assert end.accepting <= ACCEPTING
+    if longest >= LONGEST:
+        assert (end.accepting, end.staying, end.last) == (700.0, 1500.0, 3200.0)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -73,8 +73,8 @@
         "success": none, "busy": none, "failure": none, "backend_calls": 0, "inflight": 0,
         "hosts_listed": 1, "hosts_down": 0, "hosts_doubted": 0, "hosts_banned": [],
         "in_time": none, "broken": {}, "waits": {name: [0, 0.0, 0.0] for name in none},
-        "connections": {"open": 0, "departed": 0, "parked": 0, "woken": 0, "expired": 0, "left": 0,
-                        "gave_way": 0, "lent": 0},
+        "connections": {"open": 0, "departed": 0, "discarded": 0, "parked": 0, "woken": 0, "expired": 0,
+                        "left": 0, "gave_way": 0, "lent": 0},
     }  # fmt: skip
     first, end = desk.client(), desk.dials[0].up(stuck=True)
     assert console.figures()["backend_calls"] == 0, "its last byte has not left"
