Ask the agent before anybody is served, and survive a SIGHUP at any moment of a start

Seen: (1) a new process opened its doors and only then, in its turn of up to 0.3 s, called discovery: until the answer it sent by the list of its configuration, while what the agent holds counts as told from the first moment of a process. On real sockets a request went to a worker that the agent held as draining. (2) SIGHUP before the handler stands ended the process (return code -1): a crash.

Ruled out: SIGTERM during a start (nothing is taken yet, the process ends; now also without opening its doors); two SIGTERM (the second finds the first's flag).

Change: the watch is opened first; doors open with its first list or, where the agent is silent, after the grace of a drain, after which the known list would have to do anyway. The console opens before that.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -149,16 +149,37 @@
             done = asyncio.Event()
             self._handover.ask(link, done.set)
             await done.wait()
-        for kind, door, address in self._places():
+        # The list may be that of the process before, whose discovery may have counted on its own.
+        self._following.follow(self._follower(self._config.discovery, whole=link is not None))
+        places = self._places()
+        for kind, door, address in places:
+            if kind == "console" and not door.listening:
+                self._open(kind, door, address, beside)
+        if link is None:
+            await self._first_list()
+        if self._doors[0][0].draining:  # told to end before it took anybody
+            return
+        for kind, door, address in places:
             if not door.listening:
                 self._open(kind, door, address, beside)
         if self._peers is not None and self._peers.sock is None:
             self._peers.open()
         self._listen_for_next()
-        # The list may be that of the process before, whose discovery may have counted on its own.
-        self._following.follow(self._follower(self._config.discovery, whole=link is not None))
         self._settled = True
 
+    async def _first_list(self) -> None:
+        """Waits for discovery's first list before anybody is served.
+
+        What the agent holds counts as told from a process's first moment, and the list that the configuration
+        names is as old as that. A drain binds after its grace: an agent that is silent for so long can't be
+        asked, and the known list has to do."""
+        if self._config.discovery.address is None:
+            return
+        told = asyncio.Event()
+        self.table.heard = told.set
+        self._driver.wheel.at(self._driver.clock() + self._config.site.drain_grace, told.set)
+        await told.wait()
+
     def _custody(self, config: Config, ids: IdMap) -> Keeper | None:
         """Who keeps work in hand, if anybody does. What that needs is imported only where it is on."""
         if config.custody is None:
@@ -338,8 +359,8 @@
         self._driver.wheel.at(self._driver.clock() + LOOK, self._end_when_idle)
 
 
-async def serve(config: Config, load_again: Callable[[], Config]) -> None:
-    """Runs one dispatcher until it is told to end."""
+async def serve(config: Config, load_again: Callable[[], Config], hung_up: list[int] | None = None) -> None:
+    """Runs one dispatcher until it is told to end. `hung_up` holds each SIGHUP that came before."""
     loop = asyncio.get_running_loop()
     # One bad peer or one slip must not end the program: what reaches the loop is logged.
     loop.set_exception_handler(lambda _, at: log(f"{at.get('message')}: {at.get('exception')!r}"))
@@ -347,6 +368,8 @@
     loop.add_signal_handler(signal.SIGTERM, program.stop)
     loop.add_signal_handler(signal.SIGINT, program.stop)
     loop.add_signal_handler(signal.SIGHUP, program.reload, load_again)
+    if hung_up:  # the file may have been read before it was written anew
+        program.reload(load_again)
     await program.start()
     gc.collect()
     gc.freeze()  # what lives for ever need not be looked through again
@@ -359,9 +382,11 @@
     parser = argparse.ArgumentParser(prog="eiderfield", description="A dispatcher of jobs to workers.")
     parser.add_argument("--config", metavar="FILE", help="an operator's TOML file instead of LB_CONFIG")
     options = parser.parse_args(arguments)
+    hung_up: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: hung_up.append(number))  # which would end the process
     try:
         read = partial(load, os.environ, options.config)
-        asyncio.run(serve(read(), partial(read, again=True)))
+        asyncio.run(serve(read(), partial(read, again=True), hung_up))
     except ConfigError as error:
         log(str(error))
         return 2
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -41,6 +41,7 @@
         self.bans = bans
         self.index: int | None = None
         self.doubted = 0  # workers that the last list left out and that are kept while it is in doubt
+        self.heard: Callable[[], None] = lambda: None  # called when a source has told a list
         # Told of each ban with its time, and of its end with None.
         self.ruled: Callable[[str, float | None], None] = lambda name, since: None
         self._told: dict[int, Entry] = {}  # what discovery last said of each worker that it ever named
@@ -163,6 +164,8 @@
             self._told[entry.worker] = entry
             self._workers.readdress(entry.worker, None if entry.state == State.GONE else address)
         self._exchange.routing(kind, index, tuple(self._ruled(entry) for entry, _ in named))
+        if kind != ListKind.CACHED:
+            self.heard()
 
     def _entry(self, told: object) -> tuple[Entry, Address]:
         if not isinstance(told, Mapping):
--- /dev/null
+++ b/tests/test_starting.py
@@ -0,0 +1,168 @@
+"""The first moments of a process: what its agent holds, and signals that come before it is up."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import tomllib
+from contextlib import contextmanager
+
+import pytest
+from test_program import ROOT, Answering, ask, free_port
+from test_reload import CONFIG, Source
+
+JOB = b"POST /echo/a HTTP/1.1\r\nX-Request-Id: 1\r\nContent-Length: 3\r\n\r\nabc"
+LONG = 30_000.0  # ms: a grace that no test waits for
+
+
+class Counting(Answering):
+    """A worker that knows whether it was asked."""
+
+    def __init__(self):
+        self.asked = threading.Event()
+        super().__init__()
+
+    def hold(self):
+        self.asked.set()
+
+
+class Held(Source):
+    """A discovery that tells its list once it is let; the first of its workers drains."""
+
+    def __init__(self, worker, *others):
+        self.let = threading.Event()
+        super().__init__(worker, *others)
+
+    def serve(self, sock):
+        with sock:
+            self.asked.put(sock.recv(65536))
+            self.let.wait(30)
+            endpoints = [
+                {"name": name, "address": f"127.0.0.1:{port}", "status": "SERVING" if n else "DRAINING"}
+                for n, (name, port) in enumerate(self.workers.items())
+            ]
+            told = json.dumps({"index": 9, "snapshot": True, "endpoints": endpoints}).encode() + b"\n"
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            sock.sendall(b"%x\r\n%s\r\n" % (len(told), told))
+            self.ended.put(sock.recv(65536) == b"")
+
+
+def known(*ports, index=1):
+    endpoints = [
+        {"name": f"w{n}" if n > 1 else "w", "address": f"127.0.0.1:{port}", "status": "SERVING"}
+        for n, port in enumerate(ports, 1)
+    ]
+    return {"index": index, "snapshot": True, "endpoints": endpoints}
+
+
+@contextmanager
+def running(path, command=None, discovery=None, wait=True):
+    environ = {**os.environ, "LB_CONFIG": str(path)}
+    if discovery:
+        environ["LB_DISCOVERY"] = discovery
+    process = subprocess.Popen(
+        command or [sys.executable, "-m", "eiderfield"], cwd=ROOT, env=environ, stderr=subprocess.PIPE,
+        text=True,
+    )  # fmt: skip
+    try:
+        if wait:
+            assert "listens on" in process.stderr.readline()
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+def told(port, discovery, grace=LONG, **more):
+    settings = {**CONFIG["settings"], "rules": {"drain_grace": grace}}
+    return {**CONFIG, "listen": f"127.0.0.1:{port}", "discovery": discovery, "settings": settings, **more}
+
+
+def test_nobody_is_served_from_a_known_list_before_the_agent_was_asked(tmp_path):
+    """What the agent holds counts as told from the first moment; the list in the configuration is older."""
+    draining, ready, port = Counting(), Counting(), free_port()
+    source, path = Held(draining.port, ready.port), tmp_path / "config.json"
+    path.write_text(json.dumps(told(port, f"127.0.0.1:{source.port}", known=known(draining.port))))
+    with running(path, wait=False) as process:
+        assert b"watch=1" in source.asked.get(timeout=30)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", port)).close()
+        source.let.set()
+        assert "listens on" in process.stderr.readline()
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            assert ask(sock, JOB) == (200, b"cba")
+    assert ready.asked.is_set() and not draining.asked.is_set()
+
+
+def test_a_silent_agent_delays_a_start_for_the_grace_of_a_drain_and_no_longer(tmp_path):
+    worker, port, path = Counting(), free_port(), tmp_path / "config.json"
+    source = Held(worker.port)
+    config = told(port, f"127.0.0.1:{source.port}", grace=200.0, known=known(worker.port))
+    path.write_text(json.dumps(config))
+    with running(path), socket.create_connection(("127.0.0.1", port)) as sock:
+        assert ask(sock, JOB) == (200, b"cba")
+    assert not source.let.is_set()
+
+
+def test_a_process_that_is_told_to_end_before_it_is_up_ends(tmp_path):
+    worker, port, path = Counting(), free_port(), tmp_path / "config.json"
+    source = Held(worker.port)
+    path.write_text(json.dumps(told(port, f"127.0.0.1:{source.port}", known=known(worker.port))))
+    with running(path, wait=False) as process:
+        source.asked.get(timeout=30)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
+        source.let.set()
+        assert process.wait(30) == 0
+
+
+def test_a_hang_up_while_the_file_is_read_ends_nothing_and_is_heeded(tmp_path):
+    """It came before its handler was there, and ended the process: a crash. The file is a pipe here, so that
+    the process stands at reading it."""
+    worker, port, path = Counting(), free_port(), tmp_path / "config.json"
+    old, new = Source(worker.port), Source(worker.port)
+    os.mkfifo(path)
+    with running(path, wait=False, discovery=f"127.0.0.1:{old.port}") as process:
+        with open(path, "w") as file:  # it stands at opening it now
+            process.send_signal(signal.SIGHUP)
+            file.write(json.dumps(told(port, f"127.0.0.1:{old.port}")))
+        threading.Thread(
+            target=lambda: path.write_text(json.dumps(told(port, f"127.0.0.1:{new.port}"))), daemon=True
+        ).start()
+        assert b"watch=1" in new.asked.get(timeout=30)
+        assert "read again" in process.stderr.readline()
+        assert "listens on" in process.stderr.readline()
+
+
+def test_a_process_begun_as_deployed_survives_hang_ups_from_its_first_moment(tmp_path):
+    with open(ROOT / "deploy" / "balancer.toml", "rb") as file:
+        run = tomllib.load(file)["run"]
+    command = run.replace(".venv/bin/python", sys.executable)
+    assert command != run and "exec " in run
+    worker, port, path = Counting(), free_port(), tmp_path / "config.json"
+    source = Source(worker.port)
+    path.write_text(json.dumps(told(port, f"127.0.0.1:{source.port}")))
+    with running(path, ["sh", "-c", f"kill -HUP $$; {command}"], wait=False) as dead:
+        assert dead.wait(30) == -signal.SIGHUP, "without the trap it is the end"
+    trap, _, rest = command.partition(";")
+    up = threading.Event()
+
+    def read(stream):
+        for line in stream:
+            if "listens on" in line:
+                up.set()
+
+    with running(path, ["sh", "-c", f"{trap}; echo begun >&2;{rest}"], wait=False) as process:
+        assert process.stderr.readline() == "begun\n"
+        reader = threading.Thread(target=read, args=(process.stderr,), daemon=True)
+        reader.start()
+        while not up.wait(0.002):  # one after another, wherever it is in its start
+            assert process.poll() is None
+            process.send_signal(signal.SIGHUP)
+        assert process.poll() is None
+        process.kill()
+        reader.join(30)
