--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -334,9 +334,14 @@
         return self._addresses.get(worker)
 
     def readdress(self, worker: int, address: Address | None) -> None:
-        """Where a worker listens, None once it is gone. Idle connections to another place are closed."""
+        """Where a worker listens, None once it is gone. Connections to another place that are idle or coming
+        up are closed: whoever listens there by now is somebody else."""
         if self._addresses.get(worker) != address:
             self.close_idle(worker)
+            for line in [ln for ln in self._lines if ln.worker == worker and ln.phase == Phase.DIALLING]:
+                load = line.load
+                line.close()
+                self.report(load, Outcome.MOOT)
             if address is None:
                 self._addresses.pop(worker, None)
                 self._stale.pop(worker, None)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,137 @@
+"""What comes between two steps on a connection to a worker."""
+
+import json
+
+import pytest
+from desk import Desk
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def line(id_, **told):
+    text = json.dumps({"id": id_, "from": "w", **told}).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+def renamed(desk, port):
+    """The list names worker 1 again, elsewhere."""
+    desk.index += 1
+    entry = {"name": "w1", "address": f"127.0.0.1:{port}", "status": "SERVING", "since_ms": 0}
+    desk.table.load({"index": desk.index, "snapshot": False, "endpoints": [entry]})
+    desk.settle()
+
+
+@pytest.mark.parametrize("dropped", [False, True])
+def test_a_worker_that_is_named_again_elsewhere_is_not_dialled_at_its_old_place(dropped):
+    """Whoever listens there by now is somebody else."""
+    desk = Desk(workers=1)
+    client = desk.client(path="/unsafe/a")
+    [old] = desk.dials
+    if dropped:
+        gone = {"name": "w1", "status": "DELETED"}
+        desk.table.load({"index": 8, "snapshot": False, "endpoints": [gone]})
+    renamed(desk, 77)
+    assert old.cancelled
+    desk.advance(50.0)
+    [new] = desk.dials
+    assert new.address == ("127.0.0.1", 77)
+    new.up().finish()
+    assert client.answers()[0][0] == 200
+
+
+def test_a_connection_that_comes_up_after_its_attempt_was_given_up_carries_nothing():
+    desk = Desk(workers=1)
+    client = desk.client()
+    [dial] = desk.dials
+    client.pipe.break_off()
+    desk.settle()
+    desk.dials.append(dial)  # it came up in the moment in which it was called off
+    end = dial.up()
+    assert not end.pipe.open and not end.pipe.written
+
+
+@pytest.mark.parametrize("path", ["/safe/a", "/unsafe/a"])
+@pytest.mark.parametrize("half", [b"", b"20\r\n{\"id\": \"r1\", \"state\"", b"5\r\n{\"id\"\r\n"])
+def test_half_an_answer_and_then_a_reset_serves_nothing(path, half):
+    desk = Desk(workers=2)
+    client = desk.client(path=path)
+    end = desk.dials[0].up()
+    end.take()
+    end.pipe.send(HEAD + line("r1", state="started") + half)
+    end.pipe.break_off()
+    desk.settle()
+    desk.advance(50.0)
+    if path == "/safe/a":
+        assert not client.answers() and len(desk.dials) == 1, "it may be sent again"
+    else:
+        assert client.answers()[0][0] == 502 and not desk.dials, "it may have run"
+
+
+def test_a_second_answer_on_a_connection_that_rests_closes_it():
+    desk = Desk(workers=1)
+    client = desk.client()
+    end = desk.dials[0].up()
+    end.finish()
+    assert client.answers()[0][0] == 200 and end.pipe.open
+    end.pipe.send(HEAD + line("r1", state="done", result="again") + b"0\r\n\r\n")
+    assert not end.pipe.open
+
+
+def test_a_second_answer_that_comes_under_the_next_request_is_never_its_answer():
+    desk = Desk(workers=1)
+    first = desk.client()
+    end = desk.dials[0].up()
+    end.finish()
+    assert first.answers()[0][0] == 200
+    second = desk.client(id_="r2")
+    assert end.take() == ["r2"]
+    end.pipe.send(HEAD + line("r1", state="done", result="again") + b"0\r\n\r\n")
+    desk.settle()
+    assert not end.pipe.open and not second.answers()
+    assert any("cannot be used: a line is not about" in text for text in desk.logged)
+
+
+@pytest.mark.parametrize("endless", [b"x" * 4000, line("r1", state="running", share=0.5), b"1\r\n\n\r\n"])
+def test_an_answer_without_end_is_bounded_by_its_length_or_the_clients_time(endless):
+    desk = Desk(workers=1)
+    client = desk.client(path="/unsafe/a", wait=2000)
+    end = desk.dials[0].up()
+    end.take()
+    end.pipe.send(HEAD)
+    for _ in range(200):
+        if end.pipe.open:
+            end.pipe.send(b"fa0\r\n%s\r\n" % endless if endless[:1] == b"x" else endless)
+        desk.advance(11.0)
+    assert not end.pipe.open and client.answers()[0][0] == 502
+
+
+def test_a_drain_told_while_the_attempt_waits_behind_its_claim_sends_nothing():
+    class Claiming:
+        def __init__(self):
+            self.go = None
+
+        def claim(self, leg, go):
+            self.go = go
+
+        def may_write(self, leg):
+            return True
+
+        def ended(self, leg):
+            pass
+
+        def finish(self, job, answer):
+            job.answer(answer)
+
+    desk = Desk(workers=1)
+    desk.exchange.custodian = claiming = Claiming()
+    front = desk.door.front
+    submit = desk.exchange.submit
+    desk.exchange.submit = lambda authorisation, answer: submit(authorisation, answer, kept=True)
+    assert front is not None
+    desk.client()
+    desk.tell((1, "DRAINING"))
+    claiming.go(True)
+    desk.settle()
+    for dial in list(desk.dials):
+        end = dial.up()
+        assert end.take() == [] and not end.pipe.written
