Name the waits of calls to discovery what they are: backoff

net/turns.py is net/backoff.py, Turns is Backoff, and the followers' attribute is `backoff`; tests and pages follow.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -29,6 +29,7 @@
 from eiderfield.exchange import Exchange
 from eiderfield.idmap import IdMap
 from eiderfield.net.acquirer import AuthorisationFront, Door, Front
+from eiderfield.net.backoff import Backoff
 from eiderfield.net.bans import Bans
 from eiderfield.net.console import WAIT, ConsoleFront
 from eiderfield.net.ending import Ending
@@ -38,7 +39,6 @@
 from eiderfield.net.memory import share_of
 from eiderfield.net.peers import Peers
 from eiderfield.net.routing import Follower, Following, RoutingTable, Watcher
-from eiderfield.net.turns import Turns
 from eiderfield.net.worker import WorkerSide
 
 if TYPE_CHECKING:
@@ -256,7 +256,7 @@
         else:
             follower = watcher = Watcher(self.table, driver.wheel, clock, driver.dial, source.address, log)
             watcher.whole = whole
-        follower.turns = Turns(site.balancers, site.me, Random(self._config.seed), site.drain_grace)
+        follower.backoff = Backoff(site.balancers, site.me, Random(self._config.seed), site.drain_grace)
         return follower
 
     def reload(self, load_again: Callable[[], Config]) -> None:
--- a/eiderfield/consul.py
+++ b/eiderfield/consul.py
@@ -130,7 +130,7 @@
         """Asks on, as often as the pace allows, whatever the source does."""
         if self.feed is None or self.feed.closed:
             return
-        if wait := self.turns.pace(self.clock()):
+        if wait := self.backoff.pace(self.clock()):
             self.arm(wait, self._ask)
             return
         self.heard()
--- a/eiderfield/net/turns.py
+++ b/eiderfield/net/backoff.py
@@ -1,4 +1,4 @@
-"""When a source that many dispatchers share is asked, and asked again.
+"""Backoff and pacing of calls to a source that many dispatchers share.
 
 A source of workers serves a fixed number of calls at a time. A dispatcher that calls at its start and tries
 again at once does no harm alone. Forty that start together do: each call that has waited too long fails, its
@@ -45,7 +45,7 @@
 LEAST = 0.25  # share of a wait that is always kept; the rest is drawn
 
 
-class Turns:
+class Backoff:
     """The waits of one dispatcher, the `number`-th of `sharers`, where a drain binds after `grace` ms."""
 
     def __init__(
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -16,9 +16,9 @@
 from eiderfield.exchange import Exchange, Timer, Timers
 from eiderfield.idmap import IdMap
 from eiderfield.interface import Entry, ListKind, State
+from eiderfield.net.backoff import DIAL, Backoff
 from eiderfield.net.bans import Bans, parse
 from eiderfield.net.http import Head, Malformed, Parser, request_bytes
-from eiderfield.net.turns import DIAL, Turns
 from eiderfield.net.worker import Address, Dial, Dialling, WorkerSide
 
 SILENCE = 2600.0  # ms without even an empty line, which comes every 2 s, until the watch is opened anew
@@ -272,7 +272,7 @@
         address: Address,
         log: Callable[[str], None],
     ) -> None:
-        self.turns = Turns()  # the program puts in its own, where others share the source
+        self.backoff = Backoff()  # the program puts in its own, where others share the source
         self.first: Callable[[], None] = lambda: None  # called when the source has told its first list
         self.table = table
         self.address = address
@@ -306,7 +306,7 @@
 
     def begin(self) -> None:
         """Opens the first feed, when it is this dispatcher's turn."""
-        if wait := self.turns.first(self.table.index is not None):
+        if wait := self.backoff.first(self.table.index is not None):
             self.arm(wait, self.start)
         else:
             self.start()
@@ -338,7 +338,7 @@
     def heard(self) -> None:
         """A sign of life."""
         feed = self.feed
-        self.turns.heard()
+        self.backoff.heard()
         if feed is not None:
             self._listen(feed)
 
@@ -351,7 +351,7 @@
             return
         self._drop()
         self.table.reopened[kind] += 1
-        wait = 0.0 if kind in SILENT else self.turns.next(self.clock())
+        wait = 0.0 if kind in SILENT else self.backoff.next(self.clock())
         self.log(f"discovery: {why}; following again after index {self.table.index} in {wait:.0f} ms")
         self.arm(wait, self.start)
 
--- a/tests/test_turns.py
+++ b/tests/test_backoff.py
@@ -8,16 +8,16 @@
 from desk import Desk
 
 from eiderfield.interface import State
+from eiderfield.net.backoff import ANSWER, DIAL, FEW, FEW_MOST, FIRST, LEAST, MOST, TOLD, TURN, WAIT, Backoff
 from eiderfield.net.http import Malformed
 from eiderfield.net.routing import SILENCE, Following, Lines, Watcher
-from eiderfield.net.turns import ANSWER, DIAL, FEW, FEW_MOST, FIRST, LEAST, MOST, TOLD, TURN, WAIT, Turns
 from eiderfield.net.wheel import TICK
 
 SERVICE = 125.0  # ms of the source's time that a call takes
 PATIENCE = 2000.0  # ms that a call waits in line; one that has waited longer fails, its place used up
 
 
-def served(turns, until, calls, service=SERVICE):
+def served(backoffs, until, calls, service=SERVICE):
     """When each dispatcher has its list: `calls` are the times of the first calls. None for who has none."""
     line, free, done = [(at, number) for number, at in enumerate(calls)], 0.0, [None] * len(calls)
     heapq.heapify(line)
@@ -26,23 +26,23 @@
         begins = max(at, free)
         if begins - at > PATIENCE:  # it waits in vain, and the source finds out only when it gets to it
             free = begins + service
-            heapq.heappush(line, (at + PATIENCE + turns[number].next(at + PATIENCE), number))
+            heapq.heappush(line, (at + PATIENCE + backoffs[number].next(at + PATIENCE), number))
         else:
             free = begins + service
-            turns[number].heard()
+            backoffs[number].heard()
             done[number] = free
     return done
 
 
 def forty(sharers=40):
-    return [Turns(sharers, number, Random(number)) for number in range(40)]
+    return [Backoff(sharers, number, Random(number)) for number in range(40)]
 
 
 def test_forty_dispatchers_that_start_together_are_soon_followers_all():
     """Discovery failed 24 of 40 calls made at once, and none of those 24 ever got through again in 30 s, for
     waits that doubled to 1 s for everybody kept 27 calls a second at its door."""
-    turns = forty()
-    done = served(turns, 30_000.0, [turn.first(True) for turn in turns])
+    backoffs = forty()
+    done = served(backoffs, 30_000.0, [backoff.first(True) for backoff in backoffs])
     assert all(at is not None and at < 20_000.0 for at in done)
     assert served(forty(1), 30_000.0, [0.0] * 40).count(None) > 10
 
@@ -50,25 +50,25 @@
 def test_a_first_call_is_made_well_within_the_grace_of_a_drain():
     """With first calls spread over 6 s one that had restarted sent to workers that were gone: it would have
     been told of them, had it asked."""
-    assert max(turn.first(True) for turn in forty()) < 500.0
-    assert Turns().first(True) == Turns(4, 3).first(False) == 0.0
+    assert max(backoff.first(True) for backoff in forty()) < 500.0
+    assert Backoff().first(True) == Backoff(4, 3).first(False) == 0.0
 
 
 @pytest.mark.parametrize("sharers", [4, 40, 200, 1000])
 def test_no_number_of_sharers_makes_a_first_call_or_a_first_wait_longer_than_what_counts_as_told(sharers):
     """The 150th of 214 that restarted called 1.2 s after its start: a drain that its agent held all that time
     bound after 0.5 s, and three requests went to drained workers 0.59 s after. First waits were 20 s."""
-    all_ = [Turns(sharers, number, Random(number), grace=500.0) for number in range(sharers)]
-    firsts = [turns.first(True) for turns in all_]
+    all_ = [Backoff(sharers, number, Random(number), grace=500.0) for number in range(sharers)]
+    firsts = [backoff.first(True) for backoff in all_]
     assert max(firsts) <= FIRST * 500.0 and len(set(firsts)) == sharers
-    assert max(turns.next(0.0) for turns in all_) <= TOLD
-    assert Turns(sharers, sharers - 1, grace=0.0).first(True) == 0.0
+    assert max(backoff.next(0.0) for backoff in all_) <= TOLD
+    assert Backoff(sharers, sharers - 1, grace=0.0).first(True) == 0.0
 
 
 @pytest.mark.parametrize(("service", "within"), [(25.0, 12_000.0), (12.5, 12_000.0)])
 def test_two_hundred_that_start_together_are_all_told_by_a_slow_source(service, within):
-    turns = [Turns(200, number, Random(number)) for number in range(200)]
-    done = served(turns, within, [turn.first(True) for turn in turns], service)
+    backoffs = [Backoff(200, number, Random(number)) for number in range(200)]
+    done = served(backoffs, within, [backoff.first(True) for backoff in backoffs], service)
     assert all(at is not None for at in done)
 
 
@@ -77,38 +77,38 @@
     """Waits once grew to 80 s at 200 sharers, so that a source of 20 calls a second told them all in the end.
     But a change counts as told 6 s after the source could be reached, whatever calls failed before that."""
     assert MOST + DIAL + ANSWER == TOLD and SILENCE + DIAL + ANSWER < TOLD
-    turns, now = Turns(sharers, sharers - 1, Random(1)), 0.0
+    backoff, now = Backoff(sharers, sharers - 1, Random(1)), 0.0
     for failure in range(200):
         if failure % 50 == 49:
-            turns.heard()
-        wait = turns.next(now)
+            backoff.heard()
+        wait = backoff.next(now)
         assert 0.0 <= wait <= MOST
         now += wait
 
 
 def test_a_source_that_fails_at_once_is_asked_as_often_as_the_pace_allows():
-    turns, now = Turns(4, 3, Random(1)), 0.0
+    backoff, now = Backoff(4, 3, Random(1)), 0.0
     for _ in range(400):
-        turns.heard()  # it tells its list and ends, again and again
-        now += turns.next(now)
+        backoff.heard()  # it tells its list and ends, again and again
+        now += backoff.next(now)
     assert now >= 400 / 4.2 * 1000.0 - 8 * 250.0
 
 
 def test_few_dispatchers_wait_as_short_as_ever():
-    waits = [Turns(FEW, 0, Random(1)).next(0.0) for _ in range(3)]
+    waits = [Backoff(FEW, 0, Random(1)).next(0.0) for _ in range(3)]
     assert all(LEAST * WAIT <= wait <= WAIT for wait in waits)
-    turns = Turns(4, 0, Random(1))
-    assert max(turns.next(9e3 * n) for n in range(20)) <= turns.most == FEW_MOST
+    backoff = Backoff(4, 0, Random(1))
+    assert max(backoff.next(9e3 * n) for n in range(20)) <= backoff.most == FEW_MOST
 
 
 def test_waits_are_bounded_grow_with_failures_and_begin_anew_after_a_list():
-    turns = Turns(40, 0, Random(2))
-    waits = [turns.next(9e3 * n) for n in range(30)]
-    assert max(waits[:1]) <= WAIT * 40 and max(waits) <= turns.most == MOST
-    assert min(waits[4:]) >= LEAST * turns.most and len(set(waits)) == 30
-    turns.heard()
-    assert turns.next(1e6) == turns.first(True), "after a list the first call comes in its turn"
-    assert LEAST * WAIT * 40 <= turns.next(1e6) <= WAIT * 40
+    backoff = Backoff(40, 0, Random(2))
+    waits = [backoff.next(9e3 * n) for n in range(30)]
+    assert max(waits[:1]) <= WAIT * 40 and max(waits) <= backoff.most == MOST
+    assert min(waits[4:]) >= LEAST * backoff.most and len(set(waits)) == 30
+    backoff.heard()
+    assert backoff.next(1e6) == backoff.first(True), "after a list the first call comes in its turn"
+    assert LEAST * WAIT * 40 <= backoff.next(1e6) <= WAIT * 40
 
 
 def follow(number, index, sharers=40):
@@ -116,7 +116,7 @@
     desk = Desk(workers=1)
     desk.table.index = index
     watcher = Watcher(desk.table, desk.wheel, desk.clock, desk.dial, ("127.0.0.1", 8500), desk.logged.append)
-    watcher.turns = Turns(sharers, number, Random(number))
+    watcher.backoff = Backoff(sharers, number, Random(number))
     Following().follow(watcher)
     return desk
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,9 +7,9 @@
 
 from eiderfield.interface import State
 from eiderfield.net.acquirer import YOUNG, Door
+from eiderfield.net.backoff import DIAL
 from eiderfield.net.console import WAIT, ConsoleFront
 from eiderfield.net.routing import SILENCE, Watcher
-from eiderfield.net.turns import DIAL
 from eiderfield.net.wheel import TICK
 
 CALLERS = 4
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,8 +16,8 @@
 
 from eiderfield.config import ConfigError, load
 from eiderfield.interface import State
+from eiderfield.net.backoff import FEW_MOST
 from eiderfield.net.routing import DIAL, Following, Watcher
-from eiderfield.net.turns import FEW_MOST
 
 CONFIG = {
     "name": "n0",
