--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -444,7 +444,7 @@
             worker.alive(now)
             if worker.faults > FAULTY:  # who fails its jobs at once holds fewest and would draw all others in
                 worker.strike(now, erring=self._trials != Effect.UNSAFE)
-        elif outcome == Outcome.CANCELLED and attempt.started is None:
+        elif outcome == Outcome.CANCELLED and attempt.started is None and attempt.given_up:  # not a departure
             self._queued += QUEUED * (now - attempt.sent - self._queued)
             worker.full_until = now + 2.0 * LOOK_AGAIN  # where one has waited too long the next would too
         if job is None:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -108,3 +108,18 @@
     phone.sock.close()
     house.turn()
     assert not house.door._connections and not house.desk.exchange.unanswered and not end.pipe.open
+
+
+def test_a_departure_says_nothing_of_the_worker_that_had_the_job(house):
+    """Its attempt was called off unstarted, and the worker was left alone for 0.4 s as if it had kept the job
+    waiting too long: a burst of clients that left took the workers from those that stayed."""
+    for number in range(5):
+        phone = Phone(house)
+        phone.send(message(f"r{number}"))
+        house.turn()
+        [dial] = house.desk.dials
+        assert dial.up().take() == [f"r{number}"]
+        phone.sock.close()
+        house.turn()
+    assert not house.desk.exchange.unanswered
+    assert Phone(house).ask("stays") == [200]
--- a/tests/test_full_house.py
+++ b/tests/test_full_house.py
@@ -291,7 +291,8 @@
         assert len(gone) <= lost
         for number in gone:
             self.sent.pop(number, None)
-            self.removal.phones[number] = Phone(self.removal.old)
+            given = Given(True, self.removal.old.desk.now)
+            self.removal.phones[number] = Phone(self.removal.old, given=given)
             assert self.removal.phones[number].ask(f"again{number}") == [200]
 
     def teardown(self):
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -125,14 +125,14 @@
     the process stands at reading it."""
     worker, port, path = Counting(), free_port(), tmp_path / "config.json"
     old, new = Source(worker.port), Source(worker.port)
+    anew = tmp_path / "anew.json"
     os.mkfifo(path)
     with running(path, wait=False, discovery=f"127.0.0.1:{old.port}") as process:
-        with open(path, "w") as file:  # it stands at opening it now
+        with open(path, "w") as file:  # it stands at reading it now, and until this is closed
             process.send_signal(signal.SIGHUP)
             file.write(json.dumps(told(port, f"127.0.0.1:{old.port}")))
-        threading.Thread(
-            target=lambda: path.write_text(json.dumps(told(port, f"127.0.0.1:{new.port}"))), daemon=True
-        ).start()
+            anew.write_text(json.dumps(told(port, f"127.0.0.1:{new.port}")))
+            anew.replace(path)
         assert b"watch=1" in new.asked.get(timeout=30)
         assert "read again" in process.stderr.readline()
         assert "listens on" in process.stderr.readline()
