Name lines to workers what they are: worker connections

Line is WorkerConnection, `lines` of the configuration and of the worker side are `worker_connections` and `connections`; the stand-ins of the lab follow.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -48,7 +48,7 @@
 RELOADED = {"discovery", "known", "seed", "idling", "admission", "site", "dial_timeout", "conn_idle"}
 FIXED = {
     "name": "name", "listen": "listen", "console": "console", "memory_mb": "limits.memory_mb",
-    "client_connections": "limits.sockets", "lines": "limits.sockets", "zones": "settings.zones",
+    "client_connections": "limits.sockets", "worker_connections": "limits.sockets", "zones": "settings.zones",
     "kinds": "settings.kinds", "batch": "batch", "peers": "peers", "custody": "custody",
 }  # fmt: skip
 LOOK = 50.0  # ms between looks at what is left to do before the end
@@ -79,7 +79,7 @@
         self._driver.absent = self.exchange.absent
         self.workers = WorkerSide(
             self.exchange, wheel, clock, self._driver.dial, config.dial_timeout, config.conn_idle,
-            config.lines,
+            config.worker_connections,
         )  # fmt: skip
         bans = Bans(state_path(config.listen, "bans.json"), log)
         bans.read()
--- a/eiderfield/config.py
+++ b/eiderfield/config.py
@@ -98,7 +98,7 @@
     seed: int
     memory_mb: int
     client_connections: int
-    lines: int
+    worker_connections: int
     known: Mapping[str, object] | None
     site: Settings
     zones: tuple[str, ...]
@@ -304,7 +304,7 @@
         custody = read_custody(tree.table("custody"), site)
     taken = (CONSOLE if console is not None else 0) + (CUSTODY if custody is not None else 0)
     free = sockets - RESERVED - taken
-    lines = int(free * limits.number("worker_share", WORKER_SHARE, 0.01, 0.9))
+    worker_connections = int(free * limits.number("worker_share", WORKER_SHARE, 0.01, 0.9))
     seed = tree.raw("seed")
     if strict:
         limits.nothing_else()
@@ -316,8 +316,8 @@
         discovery=discovery,
         seed=_seed(seed, name),
         memory_mb=memory_mb,
-        client_connections=free - lines,
-        lines=lines,
+        client_connections=free - worker_connections,
+        worker_connections=worker_connections,
         known=known,
         site=site,
         zones=_names(settings, "zones"),
--- a/eiderfield/lab/fleet/estate.py
+++ b/eiderfield/lab/fleet/estate.py
@@ -44,7 +44,7 @@
     key: str
     run: float  # ms
     by: str  # the dispatcher
-    line: Line | None
+    connection: Connection | None
     slots: int = 1
     number: int = 0
 
@@ -57,7 +57,7 @@
     waiting: dict[str, list[Leg]] = field(default_factory=dict)
 
 
-class Line(asyncio.Protocol):
+class Connection(asyncio.Protocol):
     """A dispatcher's connection to a worker."""
 
     def __init__(self, worker: Worker, by: str) -> None:
@@ -74,7 +74,7 @@
         if self.worker.away:
             transport.abort()
             return
-        self.worker.lines.add(self)
+        self.worker.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
         if self.worker.mute:
@@ -93,7 +93,7 @@
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.worker.lines.discard(self)
+        self.worker.connections.discard(self)
         if self.leg is not None:
             self.worker.broke(self.leg)
 
@@ -123,7 +123,7 @@
         self.name, self.script, self.group, self.book = name, script, group, book
         self.group_number = number // script["cell"]
         self.zone = "here" if script["zones"] == 1 else f"z{self.group_number % script['zones']}"
-        self.lines: set[Line] = set()
+        self.connections: set[Connection] = set()
         self.queue: deque[Leg] = deque()
         self.running: dict[Leg, asyncio.Task[None]] = {}
         self.since = 0.0  # its last start, as Unix time in ms
@@ -138,17 +138,17 @@
         least, cold = self.script["cold_share"], self.script["cold"]
         return float(min(1.0, least + (1.0 - least) * age / cold)) if self.since else 1.0
 
-    def take(self, line: Line, head: Head, body: bytes) -> None:
+    def take(self, connection: Connection, head: Head, body: bytes) -> None:
         """A whole request."""
         told = json.loads(body)
         leg = Leg(
             head.get("x-request-id"), told["job"], head.target.split("/")[1], head.get("idempotency-key"),
-            told["run"], line.by, line, told["slots"],
+            told["run"], connection.by, connection, told["slots"],
         )  # fmt: skip
         where = {"worker": self.name, "by": leg.by, "id": leg.id, "job": leg.job, "kind": leg.kind}
         if self.fails:
             self.book.write("failed", **where)
-            line.send(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+            connection.send(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
             return
         known = self.group.runs.get(leg.key) if leg.key else None
         if known is not None and time.monotonic() - known[0] < self.script["window"] / 1000.0:
@@ -156,22 +156,22 @@
             self._answer_begins(leg)
             if known[1] is None:
                 self.group.waiting.setdefault(leg.key, []).append(leg)
-                line.leg = leg
+                connection.leg = leg
             else:
-                line.tell(leg, state="done", result=known[1], last=True)
+                connection.tell(leg, state="done", result=known[1], last=True)
             return
         if not self._fits(leg) and len(self.queue) >= self.script["queue"]:
             self.book.write("full", **where)
-            line.send(b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            connection.send(b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
             return
-        line.leg = leg
+        connection.leg = leg
         self.book.write("came", run=leg.run, slots=leg.slots, share=self.share(), **where)
         self.queue.append(leg)
         self._next()
 
     def _answer_begins(self, leg: Leg) -> None:
-        if leg.line is not None:
-            leg.line.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        if leg.connection is not None:
+            leg.connection.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 
     def _fits(self, leg: Leg) -> bool:
         """Whether a job's slots are free: the first in the queue waits until they are."""
@@ -189,8 +189,8 @@
                 group=self.group_number,
             )  # fmt: skip
             self._answer_begins(leg)
-            if leg.line is not None:
-                leg.line.tell(leg, state="started")
+            if leg.connection is not None:
+                leg.connection.tell(leg, state="started")
             self.running[leg] = asyncio.get_running_loop().create_task(self._run(leg))
 
     async def _run(self, leg: Leg) -> None:
@@ -199,24 +199,24 @@
             step = min(left, every)
             await asyncio.sleep(step * self.slow / self.share() / 1000.0)
             left -= step
-            if left > 0.0 and leg.line is not None:
-                leg.line.tell(leg, state="running", share=1.0 - left / leg.run)
+            if left > 0.0 and leg.connection is not None:
+                leg.connection.tell(leg, state="running", share=1.0 - left / leg.run)
         result = f"{self.name}:{leg.number}:{leg.job}"
         del self.running[leg]
         if leg.key:
             self.group.runs[leg.key] = (self.group.runs[leg.key][0], result)
-        read = leg.line is not None and not self.mute
+        read = leg.connection is not None and not self.mute
         what = "ended" if read else "unread"
         self.book.write(what, worker=self.name, by=leg.by, id=leg.id, job=leg.job, result=result)
         for each in [leg, *self.group.waiting.pop(leg.key, [])]:
-            if each.line is not None:
-                each.line.leg = None
-                each.line.tell(each, state="done", result=result, last=True)
+            if each.connection is not None:
+                each.connection.leg = None
+                each.connection.tell(each, state="done", result=result, last=True)
         self._next()
 
     def broke(self, leg: Leg) -> None:
         """The connection of a leg broke."""
-        leg.line = None
+        leg.connection = None
         if leg in self.queue:
             self.queue.remove(leg)
             self.book.write("dropped", worker=self.name, by=leg.by, id=leg.id, job=leg.job)
@@ -235,9 +235,9 @@
             self.book.write("dropped", worker=self.name, by=leg.by, id=leg.id, job=leg.job)
         self.running.clear()
         self.queue.clear()
-        for line in list(self.lines):
-            line.leg = None
-            line.close()
+        for connection in list(self.connections):
+            connection.leg = None
+            connection.close()
 
     def come_back(self) -> None:
         """Its process starts again, cold."""
@@ -389,7 +389,7 @@
             for name, port in ports.items():
                 worker = self.workers[name]
                 host, number = address_of(port, name)
-                await loop.create_server(partial(Line, worker, by), host, number, backlog=256)
+                await loop.create_server(partial(Connection, worker, by), host, number, backlog=256)
         for by, port in told["sources"].items():
             host, number = address_of(port, by)
             await asyncio.start_server(partial(self.source.accept, by), host, number)
@@ -428,8 +428,8 @@
             case "silent":
                 worker.mute = on
                 if not on:  # what was open when the machine vanished is reset once it is back
-                    for line in list(worker.lines):
-                        line.close()
+                    for connection in list(worker.connections):
+                        connection.close()
             case "slow":
                 worker.slow = told["value"] if on else 1.0
 
--- a/eiderfield/lab/stream.py
+++ b/eiderfield/lab/stream.py
@@ -38,7 +38,7 @@
 
 
 @dataclass
-class Line:
+class Connection:
     """A client's connection."""
 
     sock: socket.socket
@@ -56,7 +56,7 @@
         self._source = source
         self._name = name
         self._poll = select.epoll()
-        self._lines: dict[int, Line] = {}
+        self._connections: dict[int, Connection] = {}
         self._free: list[int] = []
         self.latencies = histogram()
         self.lateness = histogram()  # of the stream itself: how long after its time each job left
@@ -75,49 +75,50 @@
             else:
                 self._look(max(0.0, due - now - SPIN))
         end = time.monotonic() + DEADLINE / 1000.0 + 1.0
-        while len(self._free) < len(self._lines) and time.monotonic() < end:
+        while len(self._free) < len(self._connections) and time.monotonic() < end:
             self._look(0.05)
-        self.statuses["none"] += len(self._lines) - len(self._free)
+        self.statuses["none"] += len(self._connections) - len(self._free)
 
     def _send(self, due: float) -> None:
         fd = self._free.pop() if self._free else self._connect()
-        line = self._lines[fd]
-        line.due = due
+        connection = self._connections[fd]
+        connection.due = due
         self.sent += 1
         id_ = f"{self._name}-{self.sent}"
-        line.sock.sendall(job_bytes(id_, self._cls, f"s{self.sent % 97}", DEADLINE, b"x" * 64))
+        connection.sock.sendall(job_bytes(id_, self._cls, f"s{self.sent % 97}", DEADLINE, b"x" * 64))
         self.lateness.record_value(max(1, int((time.monotonic() - due) * 1e6)))
 
     def _connect(self) -> int:
         sock = socket.create_connection(self._target, 5.0, (self._source, 0))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._lines[sock.fileno()] = Line(sock)
+        self._connections[sock.fileno()] = Connection(sock)
         self._poll.register(sock.fileno(), select.EPOLLIN)
         return sock.fileno()
 
     def _look(self, wait: float) -> None:
         for fd, _ in self._poll.poll(wait, 64):
-            line = self._lines[fd]
+            connection = self._connections[fd]
             try:
-                data = line.sock.recv(65536)
-                heads = line.reader.feed(data)
+                data = connection.sock.recv(65536)
+                heads = connection.reader.feed(data)
             except (OSError, Malformed):
                 data, heads = b"", []
             for head in heads:
-                self.latencies.record_value(min(LONGEST, max(1, int((time.monotonic() - line.due) * 1e6))))
+                took = int((time.monotonic() - connection.due) * 1e6)
+                self.latencies.record_value(min(LONGEST, max(1, took)))
                 self.statuses[str(head.status)] += 1
                 self._free.append(fd)
             if not data:
                 self._close(fd)
 
     def _close(self, fd: int) -> None:
-        line = self._lines.pop(fd)
+        connection = self._connections.pop(fd)
         if fd in self._free:
             self._free.remove(fd)
         else:
             self.statuses["closed"] += 1
         self._poll.unregister(fd)
-        line.sock.close()
+        connection.sock.close()
 
     def told(self) -> dict[str, Any]:
         """The result, in plain values."""
--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -62,7 +62,7 @@
     status: int = 0
 
 
-class Line(asyncio.BufferedProtocol):
+class WorkerConnection(asyncio.BufferedProtocol):
     """A connection to a worker. It carries one leg or probe at a time."""
 
     def __init__(self, side: WorkerSide, worker: int, load: Leg | Probing) -> None:
@@ -129,7 +129,7 @@
     # What the side calls.
 
     def carry(self) -> None:
-        """Writes what the line is to carry; its connection is up."""
+        """Writes what it is to carry; it is up."""
         load, transport = self.load, self._transport
         assert load is not None and transport is not None
         if isinstance(load, Leg) and not self.side.exchange.may_write(load):
@@ -315,8 +315,9 @@
         self._most = self._whole = most
         self._addresses: dict[int, Address] = {}
         self._stale: dict[int, float] = {}  # until when a worker's connections carry one leg each
-        self._lines: set[Line] = set()
-        self._idle: OrderedDict[Line, float] = OrderedDict()  # oldest first, with when each fell idle
+        self._connections: set[WorkerConnection] = set()
+        # Those that carry nothing, with when each fell idle, oldest first.
+        self._idle: OrderedDict[WorkerConnection, float] = OrderedDict()
         exchange.attach(self)
 
     def timeouts(self, dial_timeout: float, conn_idle: float) -> None:
@@ -325,9 +326,9 @@
         self._reuse = max(conn_idle - IDLE_MARGIN, IDLE_SHARE * conn_idle)
 
     @property
-    def lines(self) -> int:
+    def connections(self) -> int:
         """How many connections there are."""
-        return len(self._lines)
+        return len(self._connections)
 
     def address(self, worker: int) -> Address | None:
         """Where a worker listens."""
@@ -338,9 +339,10 @@
         up are closed: whoever listens there by now is somebody else."""
         if self._addresses.get(worker) != address:
             self.close_idle(worker)
-            for line in [ln for ln in self._lines if ln.worker == worker and ln.phase == Phase.DIALLING]:
-                load = line.load
-                line.close()
+            to_it = [one for one in self._connections if one.worker == worker]
+            for connection in [one for one in to_it if one.phase == Phase.DIALLING]:
+                load = connection.load
+                connection.close()
                 self.report(load, Outcome.MOOT)
             if address is None:
                 self._addresses.pop(worker, None)
@@ -356,7 +358,7 @@
     def share(self, shared: bool) -> None:
         """Lives on half of the connections while another process of this dispatcher has the other half."""
         self._most = self._whole // 2 if shared else self._whole
-        while len(self._lines) > self._most and self._idle:
+        while len(self._connections) > self._most and self._idle:
             next(iter(self._idle)).close()
 
     # What the exchange calls.
@@ -367,8 +369,8 @@
 
     def stop(self, leg: Leg) -> None:
         """Gives a leg up by closing what carries it."""
-        for line in [line for line in self._lines if line.load is leg]:
-            line.close()
+        for connection in [connection for connection in self._connections if connection.load is leg]:
+            connection.close()
 
     def probe(self, worker: int) -> None:
         """Asks for a worker's health, or for its load where the deployment has reports."""
@@ -376,15 +378,15 @@
 
     def close_idle(self, worker: int) -> None:
         """Closes the connections to a worker that carry nothing."""
-        for line in [line for line in self._idle if line.worker == worker]:
-            line.close()
+        for connection in [connection for connection in self._idle if connection.worker == worker]:
+            connection.close()
 
     def close(self) -> None:
         """Closes every connection."""
-        for line in list(self._lines):
-            line.close()
+        for connection in list(self._connections):
+            connection.close()
 
-    # What lines call.
+    # What connections call.
 
     def message(self, load: Leg | Probing) -> bytes:
         """The request that a leg or a probe is."""
@@ -411,14 +413,14 @@
         outcome = Outcome.OK if status == 200 else Outcome.ERROR
         self.exchange.probed(probing.worker, outcome, self._clock() - probing.sent, load)
 
-    def pool(self, line: Line) -> None:
-        """A line carries nothing any more and may be used again."""
-        if self._clock() < self._stale.get(line.worker, 0.0):
-            line.close()
+    def pool(self, connection: WorkerConnection) -> None:
+        """A connection carries nothing any more and may be used again."""
+        if self._clock() < self._stale.get(connection.worker, 0.0):
+            connection.close()
             return
-        line.phase = Phase.IDLE
-        self._idle[line] = self._clock()
-        self.arm(line, self._reuse, line.close)
+        connection.phase = Phase.IDLE
+        self._idle[connection] = self._clock()
+        self.arm(connection, self._reuse, connection.close)
 
     def stale(self, worker: int) -> None:
         """A kept connection broke before any answer. Where one is dead the others often are, and a leg on
@@ -426,48 +428,48 @@
         self._stale[worker] = self._clock() + STALE
         self.close_idle(worker)
 
-    def arm(self, line: Line, wait: float, call: Callable[[], None]) -> None:
-        """Sets the one timer of a line."""
-        self.disarm(line)
-        line.timer = self._timers.at(self._clock() + wait, call)
+    def arm(self, connection: WorkerConnection, wait: float, call: Callable[[], None]) -> None:
+        """Sets the one timer of a connection."""
+        self.disarm(connection)
+        connection.timer = self._timers.at(self._clock() + wait, call)
 
-    def disarm(self, line: Line) -> None:
-        """Calls the timer of a line off."""
-        if line.timer is not None:
-            line.timer.cancel()
-            line.timer = None
+    def disarm(self, connection: WorkerConnection) -> None:
+        """Calls the timer of a connection off."""
+        if connection.timer is not None:
+            connection.timer.cancel()
+            connection.timer = None
 
-    def forget(self, line: Line) -> None:
-        """A line is closed."""
-        self._lines.discard(line)
-        self._idle.pop(line, None)
+    def forget(self, connection: WorkerConnection) -> None:
+        """A connection is closed."""
+        self._connections.discard(connection)
+        self._idle.pop(connection, None)
 
     def _carry(self, worker: int, load: Leg | Probing) -> None:
         address = self._addresses.get(worker)
         if address is None:  # gone from the routing table: nothing was sent
             self.report(load, Outcome.MOOT)
             return
-        line = self._idle_line(worker)
-        if line is not None:
-            self.disarm(line)
-            line.load = load
-            line.carry()
+        connection = self._idle_connection(worker)
+        if connection is not None:
+            self.disarm(connection)
+            connection.load = load
+            connection.carry()
             return
-        if len(self._lines) >= self._most and self._idle:
+        if len(self._connections) >= self._most and self._idle:
             next(iter(self._idle)).close()
-        if len(self._lines) >= self._most:
+        if len(self._connections) >= self._most:
             self.report(load, Outcome.MOOT)
             return
-        line = Line(self, worker, load)
-        self._lines.add(line)
-        self.arm(line, self._dial_timeout, line.never_up)
-        line.dialling = self._dial(line, address, line.never_up)
+        connection = WorkerConnection(self, worker, load)
+        self._connections.add(connection)
+        self.arm(connection, self._dial_timeout, connection.never_up)
+        connection.dialling = self._dial(connection, address, connection.never_up)
 
-    def _idle_line(self, worker: int) -> Line | None:
+    def _idle_connection(self, worker: int) -> WorkerConnection | None:
         """The connection idle for longest: turns keep all open, and each new one costs a handshake."""
         oldest = self._clock() - self._reuse
-        fresh = (line for line, since in self._idle.items() if line.worker == worker and since > oldest)
-        line = next(fresh, None)
-        if line is not None:
-            del self._idle[line]
-        return line
+        to_it = ((one, since) for one, since in self._idle.items() if one.worker == worker)
+        connection = next((one for one, since in to_it if since > oldest), None)
+        if connection is not None:
+            del self._idle[connection]
+        return connection
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -127,15 +127,15 @@
 class WorkerEnd:
     """A worker's end of a connection."""
 
-    def __init__(self, desk, line, worker, stuck=False):
+    def __init__(self, desk, connection, worker, stuck=False):
         self.desk = desk
-        self.line = line
+        self.connection = connection
         self.worker = worker
-        self.pipe = Pipe(line, stuck)
+        self.pipe = Pipe(connection, stuck)
         self.requests = deque()
         self.came = []  # the ids of all whole requests so far
         self._parser = Parser()
-        line.connection_made(self.pipe)
+        connection.connection_made(self.pipe)
 
     def take(self):
         """The ids of the unanswered requests that have come whole; what is stuck has not."""
@@ -179,8 +179,8 @@
 class Dialled:
     """A connection that is coming up."""
 
-    def __init__(self, desk, line, address, failed):
-        self.desk, self.line, self.address, self.failed = desk, line, address, failed
+    def __init__(self, desk, connection, address, failed):
+        self.desk, self.connection, self.address, self.failed = desk, connection, address, failed
         self.cancelled = False
 
     def cancel(self):
@@ -190,7 +190,7 @@
 
     def up(self, stuck=False):
         self.desk.dials.remove(self)
-        end = WorkerEnd(self.desk, self.line, self.address[1], stuck)
+        end = WorkerEnd(self.desk, self.connection, self.address[1], stuck)
         self.desk.ends.append(end)
         self.desk.settle()
         return end
@@ -204,7 +204,7 @@
 class Desk:
     """The parts of a dispatcher, joined in memory."""
 
-    def __init__(self, site=SITE, workers=2, seed=1, most=64, lines=64, bans=None):
+    def __init__(self, site=SITE, workers=2, seed=1, most=64, worker_connections=64, bans=None):
         self.now = 1_000_000.0
         self.wheel = Wheel(self.now)
         self.woken = False
@@ -213,7 +213,9 @@
         self.ends = []
         self.ids = IdMap()
         self.exchange = Exchange(site, seed, self.wheel, self._wake, self.logged.append)
-        self.side = WorkerSide(self.exchange, self.wheel, self.clock, self.dial, 100.0, 10_000.0, lines)
+        self.side = WorkerSide(
+            self.exchange, self.wheel, self.clock, self.dial, 100.0, 10_000.0, worker_connections
+        )  # fmt: skip
         bans = Bans(bans, self.logged.append)
         bans.read()
         self.table = RoutingTable(self.exchange, self.side, self.ids, bans, self.clock)
@@ -228,8 +230,8 @@
     def _wake(self):
         self.woken = True
 
-    def dial(self, line, address, failed):
-        self.dials.append(Dialled(self, line, address, failed))
+    def dial(self, connection, address, failed):
+        self.dials.append(Dialled(self, connection, address, failed))
         return self.dials[-1]
 
     def settle(self):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -31,7 +31,7 @@
         ("127.0.0.1", 8500),
     )
     assert config.conn_idle == 700.0 and config.zones == ("a", "b") and config.batch is None
-    assert config.client_connections + config.lines < 1024
+    assert config.client_connections + config.worker_connections < 1024
 
 
 @pytest.mark.parametrize(
@@ -73,7 +73,7 @@
 def test_half_of_the_usual_limits_is_enough():
     """The platform halves them on busy days: a program that then ended with 2 served nobody."""
     config = read({**PLAIN, "limits": {"memory_mb": 40, "sockets": 192}, "console": "127.0.0.1:6"}, {})
-    assert config.client_connections >= 192 / 3 and config.lines >= 48
+    assert config.client_connections >= 192 / 3 and config.worker_connections >= 48
     with pytest.raises(ConfigError, match=r"limits[.]memory_mb"):
         read({**PLAIN, "limits": {"memory_mb": 8}}, {})
 
@@ -84,13 +84,13 @@
     assert told.console == ("127.0.0.1", 6)
     assert read({**PLAIN, "console": "127.0.0.1:6"}, {"LB_CONSOLE": "127.0.0.1:5"}).console[1] == 5
     free = read(PLAIN, {})
-    taken, most = told.client_connections + told.lines, free.client_connections + free.lines
-    assert taken < most, "descriptors are kept for its callers"
+    with_console, without = (c.client_connections + c.worker_connections for c in (told, free))
+    assert with_console < without, "descriptors are kept for its callers"
 
 
 def test_a_house_for_phones_may_give_most_descriptors_to_clients():
     config = read({**PLAIN, "limits": {"sockets": 20_000, "worker_share": 0.03}}, {})
-    assert config.client_connections > 19_000 and config.lines > 500
+    assert config.client_connections > 19_000 and config.worker_connections > 500
 
 
 def test_an_unreadable_file_is_a_plain_message(tmp_path):
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,7 +11,7 @@
 from eiderfield.exchange import Exchange
 from eiderfield.interface import Outcome
 from eiderfield.net.clients import ClientConnection
-from eiderfield.net.worker import Line, WorkerSide
+from eiderfield.net.worker import WorkerConnection, WorkerSide
 
 PATHS = ["/unsafe/b", "/safe/a", "/unsafe/b", "/keyed/c", "/safe"]
 STATUSES = [(500, {}), (503, {}), (503, {"X_Not_Run": "1"}), (504, {"X_Not_Run": "1"}), (200, {}), (302, {})]
@@ -23,7 +23,7 @@
 class Connections(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
-        self.desk = Desk(workers=3, most=50, lines=50)
+        self.desk = Desk(workers=3, most=50, worker_connections=50)
         self.clients = []  # client, id and path of those that wait
         self.count = 0
         self.sound = True
@@ -157,7 +157,7 @@
 
     @invariant()
     def bounded(self):
-        assert self.desk.side.lines <= 50
+        assert self.desk.side.connections <= 50
 
     def teardown(self):
         if not self.sound:  # a rule has been broken already; what follows would hide which
@@ -185,7 +185,7 @@
 
 FAULTS = {
     "begun after a drain": lambda m: m.setattr(Exchange, "may_write", lambda self, leg: True),
-    "served what no worker made": lambda m: m.setattr(Line, "_line", any_line),
+    "served what no worker made": lambda m: m.setattr(WorkerConnection, "_line", any_line),
     "answered twice|after the end": lambda m: m.setattr(
         ClientConnection, "answer", twice(ClientConnection.answer)
     ),
--- a/tests/test_custody_cost.py
+++ b/tests/test_custody_cost.py
@@ -44,4 +44,4 @@
 def test_the_example_keeps_the_class_that_must_not_be_lost():
     config = read_text((ROOT / "deploy" / "custody-example.toml").read_text())
     assert config.custody is not None and config.custody.classes == {1} and config.custody.lease == 3000.0
-    assert config.client_connections + config.lines == 1024 - 40 - 16 - 32
+    assert config.client_connections + config.worker_connections == 1024 - 40 - 16 - 32
--- a/tests/test_traps.py
+++ b/tests/test_traps.py
@@ -144,9 +144,9 @@
     desk.client()
     end = desk.dials[0].up()
     end.finish()
-    end.line.eof_received()
+    end.connection.eof_received()
     desk.client(id_="r2")
-    assert len(desk.dials) == 1 and desk.side.lines == 1
+    assert len(desk.dials) == 1 and desk.side.connections == 1
 
 
 def test_where_a_kept_connection_proved_dead_the_others_are_not_used():
@@ -199,7 +199,7 @@
 
 
 def test_descriptors_stay_bounded_on_both_sides():
-    desk = Desk(workers=1, most=3, lines=2)
+    desk = Desk(workers=1, most=3, worker_connections=2)
     idle = [Client(desk) for _ in range(3)]
     assert desk.door.make_room() and not idle[0].pipe.open  # the longest idle one gave way
     Client(desk)
@@ -207,7 +207,7 @@
         client.post(id_=f"r{id(client)}")
     assert desk.door.make_room()
     desk.client(id_="r9")
-    assert not desk.door.make_room() and desk.side.lines <= 2
+    assert not desk.door.make_room() and desk.side.connections <= 2
 
 
 def test_an_unready_dispatcher_says_so():
