--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -30,7 +30,7 @@
 from eiderfield.idmap import IdMap
 from eiderfield.net.backoff import Backoff
 from eiderfield.net.bans import Bans
-from eiderfield.net.clients import AuthorisationFront, Door, Front
+from eiderfield.net.clients import AuthorisationFront, Front, Listener
 from eiderfield.net.console import WAIT, ConsoleFront
 from eiderfield.net.ending import Ending
 from eiderfield.net.handover import Handover
@@ -95,23 +95,23 @@
         most = config.client_connections if config.batch is None else config.client_connections // 2
         self._keeper = self._custody(config, ids)
         front = AuthorisationFront(self.exchange, ids, clock, self._keeper)
-        self._doors = [(self._door(front, most), config.listen)]
+        self._listeners = [(self._listener(front, most), config.listen)]
         console = ConsoleFront(self.exchange, self.table, clock, self._ready, self._crowd, self._running)
-        self._console = Door(console, wheel, clock, CONSOLE, WAIT)
+        self._console = Listener(console, wheel, clock, CONSOLE, WAIT)
         if config.batch is not None:
             b = config.batch
             book = Book(
                 self.exchange, clock, config.name, b.jobs_most, b.finished_most, b.finished_age,
                 b.bytes_most, self._keeper,
             )  # fmt: skip
-            self._doors.append((self._door(BatchFront(book, self._keeper), most), b.listen))
+            self._listeners.append((self._listener(BatchFront(book, self._keeper), most), b.listen))
         self._peers: Peers | None = None
         if (p := config.peers) is not None:
             me, said = config.site.me, self.exchange.peer_said
             self._peers = Peers(loop, p.listen, p.peers, p.everyone, me, clock, said, log)
             self.exchange.speaker = self._peers
         self._socket = state_path(config.listen, "sock")
-        named = {f"{kind} {host}:{port}": door for kind, door, (host, port) in self._places()}
+        named = {f"{kind} {host}:{port}": listener for kind, listener, (host, port) in self._places()}
         self._handover = Handover(loop, self.exchange, self.table, self.workers, named, wheel, clock, log)
         self._handover.peers = self._peers
         self._ear = Ear(loop, self._socket, self._handover.heard)
@@ -122,26 +122,27 @@
         self._refused: dict[str, object] | None = None  # those that were given last and not taken
         self.ended = asyncio.Event()
 
-    def _door(self, front: Front, most: int) -> Door:
-        """A door for clients."""
+    def _listener(self, front: Front, most: int) -> Listener:
+        """A listener for clients."""
         config = self._config
-        door = Door(
+        listener = Listener(
             front, self._driver.wheel, self._driver.clock, most, config.admission.pace.whole, config.idling,
             Governor(config.admission, most), share_of(config.memory_mb),
         )  # fmt: skip
-        door.log = log
-        return door
+        listener.log = log
+        return listener
 
-    def _places(self) -> list[tuple[str, Door, Address]]:
-        """The doors with what they are for and where they open."""
+    def _places(self) -> list[tuple[str, Listener, Address]]:
+        """The listeners with what they are for and where they open."""
         kinds = ("listen", "batch.listen")
-        places = [(kind, door, address) for kind, (door, address) in zip(kinds, self._doors, strict=False)]
+        pairs = zip(kinds, self._listeners, strict=False)
+        places = [(kind, listener, address) for kind, (listener, address) in pairs]
         if self._config.console is not None:
             places.append(("console", self._console, self._config.console))
         return places
 
     async def start(self) -> None:
-        """Takes over from a process that serves already, if there is one, and opens the doors."""
+        """Takes over from a process that serves already, if there is one, and opens the listeners."""
         if self._keeper is not None:
             self._keeper.start()
         beside = self._socket.exists()
@@ -152,16 +153,16 @@
         # The list may be that of the process before, whose discovery may have counted on its own.
         self._following.follow(self._follower(self._config.discovery, whole=link is not None))
         places = self._places()
-        for kind, door, address in places:
-            if kind == "console" and not door.listening:
-                self._open(kind, door, address, beside)
+        for kind, listener, address in places:
+            if kind == "console" and not listener.listening:
+                self._open(kind, listener, address, beside)
         if link is None:
             await self._first_list()
-        if self._doors[0][0].draining:  # told to end before it took anybody
+        if self._listeners[0][0].draining:  # told to end before it took anybody
             return
-        for kind, door, address in places:
-            if not door.listening:
-                self._open(kind, door, address, beside)
+        for kind, listener, address in places:
+            if not listener.listening:
+                self._open(kind, listener, address, beside)
         if self._peers is not None and self._peers.sock is None:
             self._peers.open()
         self._listen_for_next()
@@ -196,15 +197,15 @@
             raise ConfigError(str(error)) from None
         return keeper
 
-    def _open(self, kind: str, door: Door, address: Address, beside: bool) -> None:
+    def _open(self, kind: str, listener: Listener, address: Address, beside: bool) -> None:
         try:
             try:
-                door.listen(self._loop, address)
+                listener.listen(self._loop, address)
             except OSError:
                 # A process that left its socket and does not hand over must not block the start.
                 if not beside or kind == "console":
                     raise
-                door.listen(self._loop, address, beside=True)
+                listener.listen(self._loop, address, beside=True)
         except OSError as error:
             raise ConfigError(f"{kind}: cannot listen on {address[0]}:{address[1]} ({error})") from None
 
@@ -220,17 +221,17 @@
 
     def _ready(self) -> bool:
         """Whether this process takes clients."""
-        doors = [door for door, _ in self._doors]
-        taking = all(door.listening and not door.draining for door in doors)
+        listeners = [listener for listener, _ in self._listeners]
+        taking = all(listener.listening and not listener.draining for listener in listeners)
         return self._settled and self.table.index is not None and taking
 
     def _crowd(self) -> dict[str, dict[str, Any]]:
-        """Figures of the clients' connections and of who is let in, at all doors together."""
+        """Figures of the clients' connections and of who is let in, at all listeners together."""
         crowd: dict[str, Any] = {"connections": Counter(), "admission": Counter()}
-        for door, _ in self._doors:
-            crowd["connections"].update(door.figures())
-            if door.governor is not None:
-                crowd["admission"].update(door.governor.figures())
+        for listener, _ in self._listeners:
+            crowd["connections"].update(listener.figures())
+            if listener.governor is not None:
+                crowd["admission"].update(listener.governor.figures())
         if self._peers is not None:
             crowd["peers"] = self._peers.figures
         if self._keeper is not None:
@@ -282,9 +283,9 @@
         if config.site != old.site:
             self.exchange.adopt(config.site)
         self.workers.timeouts(config.dial_timeout, config.conn_idle)
-        for door, _ in self._doors:
-            door.idle(config.idling)
-            door.govern(config.admission)
+        for listener, _ in self._listeners:
+            listener.idle(config.idling)
+            listener.govern(config.admission)
         if config.discovery != old.discovery:
             self._following.follow(self._follower(config.discovery, whole=True))
         log(f"the configuration was read again; discovery is at {config.discovery.address}")
@@ -307,42 +308,43 @@
 
     def stop(self) -> None:
         """Begins the end: taken jobs are answered, and clients are asked to go elsewhere."""
-        if not any(door.draining for door, _ in self._doors):
+        if not any(listener.draining for listener, _ in self._listeners):
             now, at = self._driver.clock(), self._driver.wheel.at
             end = Ending.of(max(cls.deadline for cls in self._config.site.classes))
-            for door, _ in self._doors:
-                door.draining = True
-            at(now + end.accepting, partial(self._close_doors, now + end.last))
+            for listener, _ in self._listeners:
+                listener.draining = True
+            at(now + end.accepting, partial(self._close_listeners, now + end.last))
             # Where the others are restarting too, clients sent away at once would have nowhere to go.
             at(now + end.staying, self._leave)
             if self._keeper is not None:
                 at(now + end.last, self._keeper.leave)
             if self._handover.given:  # the next process takes who connects and who is connected
-                for door, _ in self._doors:
-                    door.stop_listening()
-                self._handover.leave([name for name in self._handover.doors if name.startswith("listen ")])
+                for listener, _ in self._listeners:
+                    listener.stop_listening()
+                named = self._handover.listeners
+                self._handover.leave([name for name in named if name.startswith("listen ")])
                 self._end_when_idle()
 
-    def _close_doors(self, until: float) -> None:
-        for door, _ in self._doors:
-            door.stop_listening()
-            door.until = until
-        if not self.exchange.unanswered and not any(door.connections for door, _ in self._doors):
+    def _close_listeners(self, until: float) -> None:
+        for listener, _ in self._listeners:
+            listener.stop_listening()
+            listener.until = until
+        if not self.exchange.unanswered and not any(listener.connections for listener, _ in self._listeners):
             self._leave()
 
     def _leave(self) -> None:
-        for door, _ in self._doors:
-            door.leaving = door.heir is None
+        for listener, _ in self._listeners:
+            listener.leaving = listener.heir is None
         if not self._ending:
             self._end_when_idle()
 
     def _end_when_idle(self) -> None:
         self._ending = True
         self._handover.look()
-        for door, _ in self._doors:
-            if door.leaving:
-                door.close_quiet()
-        busy = self.exchange.unanswered or any(door.connections for door, _ in self._doors)
+        for listener, _ in self._listeners:
+            if listener.leaving:
+                listener.close_quiet()
+        busy = self.exchange.unanswered or any(listener.connections for listener, _ in self._listeners)
         busy = busy or (self._keeper is not None and not self._keeper.idle)
         if not busy and self._handover.flushed:
             if self._keeper is not None:
--- a/eiderfield/batch/front.py
+++ b/eiderfield/batch/front.py
@@ -31,7 +31,7 @@
 )
 from eiderfield.batch.jobs import Book, JobTemplate, Record
 from eiderfield.exchange import Answer, Verdict
-from eiderfield.net.clients import ClientConnection, Door
+from eiderfield.net.clients import ClientConnection, Listener
 from eiderfield.net.http import Head
 
 LONGEST_WAIT = 600_000.0  # ms
@@ -89,34 +89,34 @@
 
 
 class BatchFront:
-    """What the batch door does with messages."""
+    """What the batch listener does with messages."""
 
     def __init__(self, book: Book, elsewhere: Elsewhere | None = None) -> None:
         self._book = book
         self._elsewhere = elsewhere
 
     def message(
-        self, door: Door, connection: ClientConnection, head: Head, body: bytes
+        self, listener: Listener, connection: ClientConnection, head: Head, body: bytes
     ) -> Callable[[], None] | None:
         """Answers everything at once but a wait, which it answers when the job is final."""
         try:
             connection.proven = True  # a batch client's errors are answers like others: it may stay
-            return self._route(door, connection, head, body)
+            return self._route(listener, connection, head, body)
         except DrmaaError as error:
             refuse(connection, error)
             return None
 
     def _route(
-        self, door: Door, connection: ClientConnection, head: Head, body: bytes
+        self, listener: Listener, connection: ClientConnection, head: Head, body: bytes
     ) -> Callable[[], None] | None:
         path, _, query = head.target.partition("?")
         match head.method, path.split("/")[1:]:
             case "POST", ["v1", "jobs"]:
-                _still_open(door)
+                _still_open(listener)
                 record = self._book.run_job(template_of(_object(body)))
                 self._book.when_taken([record], partial(_taken, connection, {"jobId": record.job_id}))
             case "POST", ["v1", "bulk-jobs"]:
-                _still_open(door)
+                _still_open(listener)
                 jobs = _object(body).get("jobs")
                 if not isinstance(jobs, list):
                     raise InvalidArgumentError("jobs is not a list")
@@ -124,11 +124,11 @@
                 told: dict[str, object] = {"jobIds": [record.job_id for record in records]}
                 self._book.when_taken(records, partial(_taken, connection, told))
             case _, ["v1", "jobs", job_id, *rest] if self._is_elsewhere(job_id, rest):
-                return self._route_elsewhere(door, connection, head.method, job_id, rest, query, body)
+                return self._route_elsewhere(listener, connection, head.method, job_id, rest, query, body)
             case "GET", ["v1", "jobs", job_id]:
                 reply(connection, 200, status_of(*self._book.job_status(job_id)))
             case "GET", ["v1", "jobs", job_id, "wait"]:
-                return self._wait(door, connection, job_id, query)
+                return self._wait(listener, connection, job_id, query)
             case "POST", ["v1", "jobs", job_id, "control"]:
                 self._control(job_id, _object(body).get("action"))
                 reply(connection, 200, status_of(*self._book.job_status(job_id)))
@@ -147,7 +147,8 @@
         return kept or not self._book.knows(job_id)
 
     def _route_elsewhere(
-        self, door: Door, connection: ClientConnection, method: str, job_id: str, rest: list[str], query: str,
+        self, listener: Listener, connection: ClientConnection, method: str, job_id: str, rest: list[str],
+        query: str,
         body: bytes,
     ) -> Callable[[], None] | None:  # fmt: skip
         """A job that another dispatcher took, or that this one's earlier life took."""
@@ -157,11 +158,11 @@
             case "GET", []:
                 self._elsewhere.find(job_id, partial(self._tell_found, connection, job_id))
             case "GET", ["wait"]:
-                until = door.clock() + _patience(query)
+                until = listener.clock() + _patience(query)
                 self._elsewhere.find(job_id, partial(self._wait_found, connection, job_id, until, gone))
             case "POST", ["control"]:
                 _may_terminate(_object(body).get("action"))
-                until = door.clock() + CANCELLING
+                until = listener.clock() + CANCELLING
                 self._elsewhere.find(job_id, partial(self._end_found, connection, job_id, until, gone))
             case _:
                 connection.answer(405, b"not a method of this path\n")
@@ -224,7 +225,7 @@
         self._book.terminate(job_id)
 
     def _wait(
-        self, door: Door, connection: ClientConnection, job_id: str, query: str
+        self, listener: Listener, connection: ClientConnection, job_id: str, query: str
     ) -> Callable[[], None] | None:
         wait = _patience(query)
         _, state = self._book.job_status(job_id)
@@ -254,7 +255,7 @@
             if tell in record.waiting:
                 record.waiting.remove(tell)
 
-        timer = door.timers.at(door.clock() + wait, late)
+        timer = listener.timers.at(listener.clock() + wait, late)
         record = self._book.wait(job_id, tell)
         return forget
 
@@ -363,8 +364,8 @@
     reply(connection, error.status, {"error": error.name, "message": str(error)}, **advice)
 
 
-def _still_open(door: Door) -> None:
-    if door.draining:
+def _still_open(listener: Listener) -> None:
+    if listener.draining:
         raise TryLaterError("this dispatcher is about to end", 1000.0)
 
 
--- a/eiderfield/config.py
+++ b/eiderfield/config.py
@@ -27,7 +27,7 @@
 Address = tuple[str, int]
 
 RESERVED = 40  # descriptors for the loop, the listeners, discovery, the log and what is about to close
-LEAST_MB = 24  # memory that the program can live on: 13 MB at rest, 16 with a crowd at its door
+LEAST_MB = 24  # memory that the program can live on: 13 MB at rest, 16 with a crowd at its listener
 CONSOLE = 16  # descriptors kept for the console's callers, which no client can take
 CUSTODY = 32  # descriptors for the stores of work in hand, its own and those of others
 WORKER_SHARE = 0.4  # of the rest, for connections to workers, where nothing is said
--- a/eiderfield/crowd/governor.py
+++ b/eiderfield/crowd/governor.py
@@ -1,4 +1,6 @@
-"""The governor at the door: who may come in, how a message must come in, and who gives way. No I/O, no clock.
+"""The governor at the listener: who may come in, how a message must come in, and who gives way.
+
+No I/O, no clock.
 
 Theory of operation. Each connection has a ticket, which names its address's entry. Entries count, for an
 address and for its prefix: connections held, messages begun and not whole, and a bucket of tokens for new
@@ -189,7 +191,7 @@
 
 
 class Governor:
-    """Told of each connection at a door, it says who may be there."""
+    """Told of each connection at a listener, it says who may be there."""
 
     def __init__(self, admission: Admission | None = None, most: int = 1024) -> None:
         self.admission = admission or Admission()
@@ -213,7 +215,7 @@
         return int(min(self._most, self._cap))
 
     def tell(self, now: float, held: int, memory: float) -> None:
-        """How many connections the door holds, and the share of the memory that is taken."""
+        """How many connections the listener holds, and the share of the memory that is taken."""
         a = self.admission
         self._descriptors.tell(held / max(1, self._most), a.descriptors, a.hold, now)
         self._memory.tell(memory, a.memory, a.hold, now)
--- a/eiderfield/net/clients.py
+++ b/eiderfield/net/clients.py
@@ -49,10 +49,10 @@
 
 
 class Front(Protocol):
-    """What a door does with messages."""
+    """What a listener does with messages."""
 
     def message(
-        self, door: Door, connection: ClientConnection, head: Head, body: bytes
+        self, listener: Listener, connection: ClientConnection, head: Head, body: bytes
     ) -> Callable[[], None] | None:
         """Answers now, or later with `ClientConnection.answer`; gives what to call should the client go."""
 
@@ -92,16 +92,16 @@
     """A client's connection. It takes one message at a time."""
 
     def __init__(
-        self, door: Door, sock: socket.socket | None = None, given: Given | None = None,
+        self, listener: Listener, sock: socket.socket | None = None, given: Given | None = None,
         ticket: int | None = None, refusal: Refusal | None = None,
     ) -> None:  # fmt: skip
-        self.door = door
+        self.listener = listener
         self.ticket = ticket  # the governor's, where there is one
         self.refusal = refusal  # why it may not come in
         self.phase = Phase.READING
         self.proven = given is not None and given.proven  # whether it has brought an authorisation
         # When it connected, or when its last message was answered.
-        self.since = door.clock() if given is None else min(given.since, door.clock())
+        self.since = listener.clock() if given is None else min(given.since, listener.clock())
         self._heard = self._from = self.since  # `_from` is when what is limited now began
         self._sock = sock
         self._transport: asyncio.Transport | None = None
@@ -138,7 +138,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.phase == Phase.LINGERING:
-            self.door.discarded += not self._thrown
+            self.listener.discarded += not self._thrown
             self._thrown += nbytes
             if self._thrown > LINGER_BYTES and self._transport is not None:
                 self._transport.pause_reading()
@@ -146,9 +146,9 @@
         if self.phase == Phase.CLOSED:
             return
         self._parser.feed(_SCRATCH[:nbytes])
-        self._heard = self.door.clock()
+        self._heard = self.listener.clock()
         if self.phase == Phase.READING:
-            self.door.heard(self)
+            self.listener.heard(self)
             self._take()
         elif self._parser.buffered > PIPELINED:
             self._pause()
@@ -170,10 +170,10 @@
         self._disarm()
         self._over()
         self._watch(False)
-        self.door.forget(self)
+        self.listener.forget(self)
         gone, self._gone = self._gone, None
         if gone is not None:
-            self.door.departed += 1
+            self.listener.departed += 1
             gone()
 
     def pause_writing(self) -> None:
@@ -182,7 +182,7 @@
     def resume_writing(self) -> None:
         self._choke(False)
 
-    # What fronts and the door call.
+    # What fronts and the listener call.
 
     def answer(self, status: int, body: bytes = b"", **headers: str) -> None:
         """The whole answer to the message that was taken."""
@@ -201,7 +201,7 @@
             return
         self._gone = None
         # In the end, each answer asks the client to go elsewhere, unless more has come meanwhile.
-        keep = keep and self._head.keeps and (not self.door.leaving or self._parser.buffered > 0)
+        keep = keep and self._head.keeps and (not self.listener.leaving or self._parser.buffered > 0)
         self._transport.write(answer_bytes(status, body, keep, **headers))
         self._head = None
         self._answered = True
@@ -209,11 +209,11 @@
             self._linger()
             return
         self.phase = Phase.READING
-        self.since = self.door.clock()
-        self.door.idles(self)
+        self.since = self.listener.clock()
+        self.listener.idles(self)
         self._limit()
-        if self.door.heir is not None:  # the next process serves it from now on, once this call is over
-            self.door.timers.at(self.since, partial(self.door.pass_on, self))
+        if self.listener.heir is not None:  # the next process serves it from now on, once this call is over
+            self.listener.timers.at(self.since, partial(self.listener.pass_on, self))
         if not self._choked:
             self._read_on()
         if not self._taking:  # else its loop goes on: thousands of pipelined messages must not nest
@@ -230,9 +230,9 @@
     def spare(self) -> bool:
         """Whether this connection may give way to another."""
         if self.phase == Phase.LINGERING:  # until its last answer has arrived
-            now = self.door.clock()
+            now = self.listener.clock()
             return now >= self._from + YOUNG or self._sock is None or not unsent(self._sock.fileno())
-        return self.quiet or (not self.proven and self.door.clock() >= self._heard + YOUNG)
+        return self.quiet or (not self.proven and self.listener.clock() >= self._heard + YOUNG)
 
     def let_go(self) -> tuple[int, Given] | None:
         """Gives the connection away between two jobs: its descriptor, which stays open, and what of the next
@@ -267,23 +267,23 @@
             self._over()
             self.phase = Phase.CLOSED
             self._watch(False)
-            self.door.forget(self)
+            self.listener.forget(self)
             if self._transport is not None:
                 self._transport.abort()
 
     def _linger(self) -> None:
         """Ends the sending and throws input away, for closing on unread input would take the answer back."""
         self.phase = Phase.LINGERING
-        self._from = self.door.clock()
+        self._from = self.listener.clock()
         self._disarm()
         self._over()
-        self.door.idles(self)
+        self.listener.idles(self)
         if self._transport is not None and not self._transport.is_closing():
             with suppress(OSError):
                 self._transport.write_eof()
             if not self._choked:
                 self._read_on()
-        self._timer = self.door.timers.at(self.door.clock() + LINGER, self.abort)
+        self._timer = self.listener.timers.at(self.listener.clock() + LINGER, self.abort)
 
     def _reject(self, error: Malformed, retry_after: float = 0.0) -> None:
         self.phase = Phase.WAITING
@@ -300,19 +300,19 @@
         """Sets how long the connection may stay as it is, from now on if not from an earlier start."""
         self._begun = self._head is not None or not self._parser.between
         self._disarm()
-        self._from = self.door.clock() if start is None else start
+        self._from = self.listener.clock() if start is None else start
         if self.proven and not self._begun:
-            idling = self.door.idling
-            at = min(self.since + idling.keep, self.door.clock() + idling.park_after)
-            self._timer = self.door.timers.at(at, self._late, patient=True)
+            idling = self.listener.idling
+            at = min(self.since + idling.keep, self.listener.clock() + idling.park_after)
+            self._timer = self.listener.timers.at(at, self._late, patient=True)
         else:
-            self._timer = self.door.timers.at(self._until().at, self._late)
+            self._timer = self.listener.timers.at(self._until().at, self._late)
 
     def _until(self) -> Limit:
         """Until when what has begun, or has yet to begin on a new connection, may take."""
-        governor = self.door.governor
+        governor = self.listener.governor
         if governor is None:
-            return Limit(self._from + self.door.whole)
+            return Limit(self._from + self.listener.whole)
         if self._head is None:
             return governor.head_until(self._from)
         return governor.body_until(self._from, self._head_at, len(self._body))
@@ -320,7 +320,7 @@
     def _begins(self) -> None:
         """A message has begun that is not whole yet."""
         self._begun = True
-        governor = self.door.governor
+        governor = self.listener.governor
         if governor is None or self.ticket is None or self._counted:
             return
         refusal = governor.begins(self.ticket)
@@ -331,8 +331,8 @@
 
     def _over(self) -> None:
         """What had begun is whole, or its connection is over."""
-        if self._counted and self.door.governor is not None and self.ticket is not None:
-            self.door.governor.ends(self.ticket)
+        if self._counted and self.listener.governor is not None and self.ticket is not None:
+            self.listener.governor.ends(self.ticket)
         self._counted = False
 
     def apply(self) -> None:
@@ -343,16 +343,16 @@
     def _late(self) -> None:
         if self.phase == Phase.READING and self._begun:
             limit = self._until()
-            if limit.at > self.door.clock():  # a body that comes in fast enough
-                self._timer = self.door.timers.at(limit.at, self._late)
+            if limit.at > self.listener.clock():  # a body that comes in fast enough
+                self._timer = self.listener.timers.at(limit.at, self._late)
                 return
-            if self.door.governor is not None:
-                self.door.governor.late(limit)
+            if self.listener.governor is not None:
+                self.listener.governor.late(limit)
             self._reject(Malformed("the message took too long", 408))
         elif self.quiet:
-            if not self.proven or self.door.clock() >= self.since + self.door.idling.keep:
+            if not self.proven or self.listener.clock() >= self.since + self.listener.idling.keep:
                 self.close()
-            elif not self.door.park(self):
+            elif not self.listener.park(self):
                 self._limit()
         elif self.phase == Phase.READING:  # something came at this very moment
             self._limit()
@@ -370,7 +370,7 @@
                     break
                 if isinstance(got, Head):
                     self._head = got
-                    self._head_at = self.door.clock()
+                    self._head_at = self.listener.clock()
                     self._body.clear()
                     if got.get("expect").lower() == "100-continue" and self._transport is not None:
                         self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -381,10 +381,10 @@
                     self._disarm()
                     self._over()
                     self.phase = Phase.WAITING
-                    gone = self.door.front.message(self.door, self, self._head, bytes(self._body))
+                    gone = self.listener.front.message(self.listener, self, self._head, bytes(self._body))
                     if self._head is not None:
                         self._gone = gone
-                        self.door.works(self)
+                        self.listener.works(self)
         except Malformed as error:
             self._reject(error)
         finally:
@@ -394,7 +394,7 @@
         if taken == AT_ONCE:  # the others' turn
             self._disarm()
             self._choke(True)
-            self._timer = self.door.timers.at(self.door.clock(), self._go_on)
+            self._timer = self.listener.timers.at(self.listener.clock(), self._go_on)
         elif not self._begun and (self._head is not None or not self._parser.between):
             if self.proven:  # a new connection's time runs from its start, whatever it drips
                 self._limit()
@@ -402,7 +402,7 @@
 
     def _go_on(self) -> None:
         if self._transport is not None and self._transport.get_write_buffer_size():
-            self._timer = self.door.timers.at(self.door.clock(), self._go_on)  # it does not read
+            self._timer = self.listener.timers.at(self.listener.clock(), self._go_on)  # it does not read
             return
         self._limit()
         self._choke(False)
@@ -430,7 +430,7 @@
             self._transport.resume_reading()
 
     def _watch(self, watched: bool) -> None:
-        departures = self.door.departures
+        departures = self.listener.departures
         if departures is None or self._sock is None or (fd := self._sock.fileno()) < 0:
             return
         if watched and self.phase != Phase.CLOSED:
@@ -439,7 +439,7 @@
             departures.forget(fd)
 
 
-class Door:
+class Listener:
     """A listener with its connections, within the descriptors they may take."""
 
     def __init__(
@@ -469,7 +469,7 @@
         self._unproven: OrderedDict[ClientConnection, None] = OrderedDict()
         self._idle: OrderedDict[ClientConnection, None] = OrderedDict()
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._listener: socket.socket | None = None
+        self._socket: socket.socket | None = None
         self._full = False
         self.resting = False  # whether another process takes who connects
         self._joining: set[asyncio.Task[None]] = set()
@@ -486,7 +486,7 @@
     @property
     def listening(self) -> bool:
         """Whether the port serves."""
-        return self._listener is not None
+        return self._socket is not None
 
     @property
     def connections(self) -> int:
@@ -499,52 +499,52 @@
         return 0 if self._lot is None else len(self._lot)
 
     @property
-    def listener(self) -> int | None:
+    def fd(self) -> int | None:
         """The port's descriptor."""
-        return None if self._listener is None else self._listener.fileno()
+        return None if self._socket is None else self._socket.fileno()
 
     def listen(
         self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], beside: bool = False
     ) -> None:
         """Opens the port; `beside` a process that has it open and does not hand it over."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
+        sock = socket.socket(family, socket.SOCK_STREAM)
         try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             if beside:
-                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            listener.bind(address)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            sock.bind(address)
             # Set once the address is ours: a second program that is given it by mistake must still fail.
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            listener.listen(BACKLOG)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            sock.listen(BACKLOG)
         except OSError:
-            listener.close()
+            sock.close()
             raise
-        self.adopt(loop, listener)
+        self.adopt(loop, sock)
 
-    def adopt(self, loop: asyncio.AbstractEventLoop, listener: socket.socket) -> None:
+    def adopt(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
         """Serves a port that is open already."""
-        listener.setblocking(False)
-        self._loop, self._listener = loop, listener
-        loop.add_reader(listener, self._accept)
+        sock.setblocking(False)
+        self._loop, self._socket = loop, sock
+        loop.add_reader(sock, self._accept)
         self.idle(self.idling)
 
     def rest(self, resting: bool) -> None:
         """Leaves who connects to another process that has the port, or takes them again."""
-        if self._loop is not None and self._listener is not None:
-            self._loop.remove_reader(self._listener)
+        if self._loop is not None and self._socket is not None:
+            self._loop.remove_reader(self._socket)
             if not resting:
-                self._loop.add_reader(self._listener, self._accept)
+                self._loop.add_reader(self._socket, self._accept)
         self.resting, self._full = resting, False
 
     def stop_listening(self) -> None:
         """Closes the port after taking whoever is connected already, unless another process does."""
-        if self._loop is not None and self._listener is not None:
+        if self._loop is not None and self._socket is not None:
             if not self.resting:
                 self._accept(BACKLOG)
-            self._loop.remove_reader(self._listener)
-            self._listener.close()
-            self._listener = None
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
 
     def pass_on(self, connection: ClientConnection) -> bool:
         """Gives a connection to the next process if that is possible now."""
@@ -812,10 +812,10 @@
 
     def _knocking(self) -> bool:
         """Whether somebody waits to be taken."""
-        if self._listener is None:
+        if self._socket is None:
             return False
         poll = select.poll()  # `select.select` knows no descriptor above 1,023
-        poll.register(self._listener, select.POLLIN)
+        poll.register(self._socket, select.POLLIN)
         return any(event & select.POLLIN for _, event in poll.poll(0))
 
     def make_room(self) -> bool:
@@ -851,7 +851,7 @@
         return spare is not None
 
     def _accept(self, most: int = AT_ONCE) -> None:
-        assert self._loop is not None and self._listener is not None
+        assert self._loop is not None and self._socket is not None
         for _ in range(most):
             # Room is made for somebody: one that gives way while nobody waits would be lost for nothing.
             if self.full and not self._knocking():
@@ -861,7 +861,7 @@
                 self._wait()
                 return
             try:
-                sock, peer = self._listener.accept()
+                sock, peer = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError:  # descriptors are short: the listener stays readable, and asking on would spin
@@ -893,15 +893,15 @@
         task.add_done_callback(self._joining.discard)
 
     def _wait(self) -> None:
-        if self._loop is not None and self._listener is not None and not self._full:
+        if self._loop is not None and self._socket is not None and not self._full:
             self._full = True
-            self._loop.remove_reader(self._listener)
+            self._loop.remove_reader(self._socket)
             self.timers.at(self.clock() + AGAIN, self._accept_again)
 
     def _accept_again(self) -> None:
-        if self._full and self._loop is not None and self._listener is not None:
+        if self._full and self._loop is not None and self._socket is not None:
             self._full = False
-            self._loop.add_reader(self._listener, self._accept)
+            self._loop.add_reader(self._socket, self._accept)
 
     async def _join(self, connection: ClientConnection, sock: socket.socket) -> None:
         assert self._loop is not None
@@ -926,13 +926,13 @@
         self._tenants = {tenant.name: number for number, tenant in enumerate(exchange.site.tenants)}
 
     def message(
-        self, door: Door, connection: ClientConnection, head: Head, body: bytes
+        self, listener: Listener, connection: ClientConnection, head: Head, body: bytes
     ) -> Callable[[], None] | None:
         """Takes an authorisation, or says whether this dispatcher is ready."""
         path = head.target.partition("?")[0]
         if path == "/ready":
-            ready = self._exchange.knows_workers and door.listening and not door.draining
-            if door.draining:
+            ready = self._exchange.knows_workers and listener.listening and not listener.draining
+            if listener.draining:
                 connection.reject(503, "not ready")
             else:
                 connection.answer(200 if ready else 503, b"ready\n" if ready else b"not ready\n")
@@ -946,7 +946,7 @@
             connection.reject(405, "jobs arrive by POST", Allow="POST")
             return None
         try:
-            authorisation = self._read(number, parts[2:], head, body, door.until)
+            authorisation = self._read(number, parts[2:], head, body, listener.until)
         except Malformed as error:
             connection.reject(error.status, str(error))
             return None
--- a/eiderfield/net/console.py
+++ b/eiderfield/net/console.py
@@ -19,7 +19,7 @@
 from urllib.parse import unquote
 
 from eiderfield.exchange import Exchange, Verdict
-from eiderfield.net.clients import ClientConnection, Door
+from eiderfield.net.clients import ClientConnection, Listener
 from eiderfield.net.http import Head
 from eiderfield.net.routing import RoutingTable
 
@@ -58,7 +58,7 @@
 
 
 class ConsoleFront:
-    """What the console's door does with calls."""
+    """What the console's listener does with calls."""
 
     def __init__(
         self, exchange: Exchange, table: RoutingTable, clock: Callable[[], float], ready: Callable[[], bool],
@@ -72,7 +72,7 @@
         self._config = config
 
     def message(
-        self, door: Door, connection: ClientConnection, head: Head, body: bytes
+        self, listener: Listener, connection: ClientConnection, head: Head, body: bytes
     ) -> Callable[[], None] | None:
         """Answers a call at once and closes its connection."""
         path = head.target.partition("?")[0]
--- a/eiderfield/net/handover.py
+++ b/eiderfield/net/handover.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from eiderfield.exchange import Exchange, Timer, Timers
-from eiderfield.net.clients import Door, Given, Letting
+from eiderfield.net.clients import Given, Letting, Listener
 from eiderfield.net.link import Link, close_all
 from eiderfield.net.peers import Peers
 from eiderfield.net.routing import RoutingTable
@@ -39,7 +39,8 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, exchange: Exchange, table: RoutingTable, workers: WorkerSide,
-        doors: Mapping[str, Door], timers: Timers, clock: Callable[[], float], log: Callable[[str], None],
+        listeners: Mapping[str, Listener], timers: Timers, clock: Callable[[], float],
+        log: Callable[[str], None],
     ) -> None:  # fmt: skip
         self.given = False  # whether another process has taken over from this one
         self.lost: Callable[[], None] = lambda: None  # called when that process is gone
@@ -47,7 +48,7 @@
         self._exchange = exchange
         self._table = table
         self._workers = workers
-        self.doors = doors
+        self.listeners = listeners
         self._timers = timers
         self._clock = clock
         self._log = log
@@ -56,7 +57,7 @@
         self._next: tuple[Link, list[dict[str, Any]]] | None = None  # who waits, and what it said
         self._done: Callable[[], None] = lambda: None
         self._timer: Timer | None = None
-        self._shared: list[str] = []  # the doors that both processes have
+        self._shared: list[str] = []  # the listeners that both processes have
         self._ids: dict[str, bool] = {}  # what is to be told: ids that came, or went
         self._legs: dict[int, list[float]] = {}  # legs out at workers, and the work sent there
         self._telling = False
@@ -100,13 +101,13 @@
             else:
                 sock.close()
         for name, fd in zip(told["doors"], fds, strict=True):
-            listener = socket.socket(fileno=fd)
-            if name in self.doors and not self.doors[name].listening:
-                self.doors[name].adopt(self._loop, listener)
-                self.doors[name].rest(True)  # until the old one has let go of it
+            sock = socket.socket(fileno=fd)
+            if name in self.listeners and not self.listeners[name].listening:
+                self.listeners[name].adopt(self._loop, sock)
+                self.listeners[name].rest(True)  # until the old one has let go of it
                 self._shared.append(name)
             else:
-                listener.close()
+                sock.close()
         fds.clear()
         self._table.take_over(told["table"], told["bans"])
         self._exchange.ids_beside(told["ids"], ())
@@ -115,7 +116,7 @@
         self._exchange.resume(told["memory"], self._clock())
         self._tell_from_now_on()
         for name in self._shared:
-            self.doors[name].departs = partial(self._tell_departed, name)
+            self.listeners[name].departs = partial(self._tell_departed, name)
         self._send({"is": "taken", "doors": self._shared, "parks": True})
 
     def _yours(self, told: dict[str, Any], fds: list[int]) -> None:
@@ -124,7 +125,7 @@
         if self.peers is not None:
             self.peers.rest(False)
         for name in self._shared:
-            self.doors[name].rest(False)
+            self.listeners[name].rest(False)
         self._finish()
 
     def _parked(self, told: dict[str, Any], fds: list[int]) -> None:
@@ -134,7 +135,7 @@
         refused = []
         for number, since in enumerate(told["since"]):
             key = int(keys[number]) if keys else None
-            if self.doors[name].borrow(fds[number], float(since), key):
+            if self.listeners[name].borrow(fds[number], float(since), key):
                 fds[number] = -1
             elif key is not None:
                 refused.append(key)
@@ -149,13 +150,13 @@
         fds.clear()
         sock = socket.socket(fileno=fd)
         begun = str(told["begun"]).encode("latin-1")
-        self.doors[told["door"]].admit(sock, Given(bool(told["proven"]), float(told["since"]), begun))
+        self.listeners[told["door"]].admit(sock, Given(bool(told["proven"]), float(told["since"]), begun))
 
     def _count(self, told: dict[str, Any]) -> None:
         """How many connections the old process still has count within what this one may have."""
         for name, connections in told["open"].items():
-            if name in self.doors:
-                self.doors[name].beside = int(connections)
+            if name in self.listeners:
+                self.listeners[name].beside = int(connections)
 
     def _finish(self) -> None:
         if self._timer is not None:
@@ -192,14 +193,14 @@
     def _asked(self, told: dict[str, Any], fds: list[int]) -> None:
         if told["form"] != FORM:
             raise ValueError("the other process speaks another form")
-        listeners = {name: door.listener for name, door in self.doors.items() if door.listener is not None}
+        sockets = {name: listener.fd for name, listener in self.listeners.items() if listener.fd is not None}
         ids = self._table.ids
         state: dict[str, Any] = {
-            "is": "state", "doors": list(listeners), "table": self._table.told(),
+            "is": "state", "doors": list(sockets), "table": self._table.told(),
             "bans": self._table.bans.told(), "ids": self._exchange.ids, "memory": self._exchange.memory(),
             "legs": [[ids.name(worker), out] for worker, out in self._exchange.out_at.items()],
         }  # fmt: skip
-        fds = list(listeners.values())
+        fds = list(sockets.values())
         if told.get("peers") is True and self.peers is not None and self.peers.sock is not None:
             state["peers"] = True
             fds.append(self.peers.sock.fileno())
@@ -208,9 +209,9 @@
 
     def _taken(self, told: dict[str, Any], fds: list[int]) -> None:
         self.given = True
-        self._shared = [name for name in told["doors"] if name in self.doors]
+        self._shared = [name for name in told["doors"] if name in self.listeners]
         for name in self._shared:
-            self.doors[name].rest(True)
+            self.listeners[name].rest(True)
         if self.peers is not None:  # the next one speaks for both
             self.peers.rest(True)
         self._workers.share(True)
@@ -218,7 +219,7 @@
         self._send({"is": "yours", "open": self._open()})
         self._lends = told.get("parks") is True
         for name in self._shared:
-            self.doors[name].parks = self._lend
+            self.listeners[name].parks = self._lend
         self._lend()
 
     def _lend(self) -> None:
@@ -226,47 +227,47 @@
         if not self._lends or self._lending or self._link is None:
             return
         for name in self._shared:
-            door = self.doors[name]
-            if batch := door.lend(BATCH):
+            listener = self.listeners[name]
+            if batch := listener.lend(BATCH):
                 self._lending = True
                 keys = [fd for fd, _ in batch]
                 told = {
                     "is": "parked", "door": name, "since": [since for _, since in batch],
-                    "open": self._open(), "keys": keys if door.idling.copies else [],
+                    "open": self._open(), "keys": keys if listener.idling.copies else [],
                 }  # fmt: skip
                 try:
                     self._send(told, keys)
                 except OSError as error:  # descriptors are short: they go one by one at the end
                     self._log(f"parked connections cannot be passed on in batches: {error}")
                     self._lends = self._lending = False
-                    door.lent_is_refused(keys)
+                    listener.lent_is_refused(keys)
                     return
-                if not door.idling.copies:
-                    door.lent_departs(keys)
+                if not listener.idling.copies:
+                    listener.lent_departs(keys)
                 return
 
     def _got(self, told: dict[str, Any], fds: list[int]) -> None:
         self._lending = False
         refused = [int(key) for key in told["refused"]]
-        self.doors[str(told["door"])].lent_is_refused(refused)
+        self.listeners[str(told["door"])].lent_is_refused(refused)
         if refused:  # asked again and again, a full house would have no time for anything else
             self._lends = False
         else:
             self._lend()
 
     def _departed(self, told: dict[str, Any], fds: list[int]) -> None:
-        self.doors[str(told["door"])].lent_departs([int(key) for key in told["keys"]])
+        self.listeners[str(told["door"])].lent_departs([int(key) for key in told["keys"]])
 
-    def leave(self, doors: list[str]) -> None:
+    def leave(self, listeners: list[str]) -> None:
         """The end has come: clients' connections are given away as soon as nothing is owed on them."""
-        for name in doors:
+        for name in listeners:
             if self.given and name in self._shared:
-                self.doors[name].heir = partial(self._give, name)
+                self.listeners[name].heir = partial(self._give, name)
 
     def look(self) -> None:
         """Gives away what can be given now."""
-        for door in self.doors.values():
-            door.pass_some()
+        for listener in self.listeners.values():
+            listener.pass_some()
 
     def close(self) -> None:
         """Ends the link: all has been told."""
@@ -295,7 +296,7 @@
         return True
 
     def _open(self) -> dict[str, int]:
-        return {name: self.doors[name].connections for name in self._shared}
+        return {name: self.listeners[name].connections for name in self._shared}
 
     # Both.
 
@@ -370,15 +371,15 @@
         self._exchange.alone()
         self._table.ruled = lambda name, since: None
         self._workers.share(False)
-        for door in self.doors.values():
-            door.heir = None
-            door.beside = 0
-            door.parks = _nothing
-            door.departs = _nothing
-            door.own()
-            door.lent_returns()
-            if door.resting:
-                door.rest(False)
+        for listener in self.listeners.values():
+            listener.heir = None
+            listener.beside = 0
+            listener.parks = _nothing
+            listener.departs = _nothing
+            listener.own()
+            listener.lent_returns()
+            if listener.resting:
+                listener.rest(False)
         self._finish()
         if was_given:
             self._log("the process that took over is gone; this one takes clients again")
@@ -387,7 +388,7 @@
 
 
 def _nothing(*told: object) -> None:
-    """What a door tells nobody."""
+    """What a listener tells nobody."""
 
 
 def _keep(said: list[dict[str, Any]], told: dict[str, Any], fds: list[int]) -> None:
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -12,7 +12,7 @@
 from eiderfield.exchange import Exchange
 from eiderfield.idmap import IdMap
 from eiderfield.net.bans import Bans
-from eiderfield.net.clients import AuthorisationFront, ClientConnection, Door
+from eiderfield.net.clients import AuthorisationFront, ClientConnection, Listener
 from eiderfield.net.http import END, Head, Parser
 from eiderfield.net.routing import RoutingTable
 from eiderfield.net.wheel import Wheel
@@ -86,10 +86,10 @@
 class Client:
     """A client's connection."""
 
-    def __init__(self, desk, door=None, given=None):
+    def __init__(self, desk, listener=None, given=None):
         self.desk = desk
-        self.connection = ClientConnection(door or desk.door, given=given)
-        (door or desk.door).join(self.connection)
+        self.connection = ClientConnection(listener or desk.listener, given=given)
+        (listener or desk.listener).join(self.connection)
         self.pipe = Pipe(self.connection)
         self.connection.connection_made(self.pipe)
         self._parser = Parser(answers=True)
@@ -220,7 +220,7 @@
         bans.read()
         self.table = RoutingTable(self.exchange, self.side, self.ids, bans, self.clock)
         front = AuthorisationFront(self.exchange, self.ids, self.clock)
-        self.door = Door(front, self.wheel, self.clock, most)
+        self.listener = Listener(front, self.wheel, self.clock, most)
         self.index = 0
         self.tell(*[(w, "SERVING") for w in range(1, workers + 1)], snapshot=True)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""The governor at work: who is turned away or ended for slowness, and that its counts hold at the door."""
+"""The governor at work: who is turned away or ended for slowness; its counts hold at the listener."""
 
 import socket
 
@@ -32,8 +32,8 @@
     ours.send(message("r1") * 20)
     Phone.__init__(late, House())  # for its parser
     late.sock = ours
-    house.door._listener.waiting.append((theirs, ("192.0.2.1", 1)))
-    house.door._accept()
+    house.listener._socket.waiting.append((theirs, ("192.0.2.1", 1)))
+    house.listener._accept()
     house.turn()
     assert late.statuses() == [503] and first.open
     house.close()
@@ -63,7 +63,7 @@
     house.pass_time(LINGER + TICK)
     assert Phone(house).statuses() == [503]
     house.pass_time(IDLING.keep + 2000.0)
-    assert not house.door.connections
+    assert not house.listener.connections
     assert Phone(house).ask("later") == [200]
     house.close()
 
@@ -115,7 +115,7 @@
                 break
         house.turn(2)
         house.pass_time(gap)
-        if house.door.clock() > 1_000_000.0 + WHOLE:
+        if house.listener.clock() > 1_000_000.0 + WHOLE:
             break
     house.work()
     assert phone.statuses() == [answer]
@@ -128,7 +128,7 @@
     phone = Phone(house).send(b"POST /safe")
     house.turn()
     house.pass_time(1000.0)
-    house.door.govern(Admission(pace=Pace(head=1500.0)))
+    house.listener.govern(Admission(pace=Pace(head=1500.0)))
     house.pass_time(490.0)
     assert not phone.statuses()
     house.pass_time(20.0)
@@ -154,7 +154,7 @@
     house.memory = 0.97
     house.pass_time(200.0)
     newcomer = Phone(house)
-    assert house.governor.house == 20 and house.door.connections == 20
+    assert house.governor.house == 20 and house.listener.connections == 20
     assert newcomer.ask("n") == [200]
     assert sum(phone.open for phone in quiet) == 19
     house.memory = 0.5
@@ -171,6 +171,6 @@
         theirs, _ = listener.accept()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
     client.close()
-    house.door.admit(theirs, Given(True, house.desk.now))
+    house.listener.admit(theirs, Given(True, house.desk.now))
     house.turn()
     house.close()
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -40,7 +40,7 @@
 
 def test_forty_dispatchers_that_start_together_are_soon_followers_all():
     """Discovery failed 24 of 40 calls made at once, and none of those 24 ever got through again in 30 s, for
-    waits that doubled to 1 s for everybody kept 27 calls a second at its door."""
+    waits that doubled to 1 s for everybody kept 27 calls a second at its listener."""
     backoffs = forty()
     done = served(backoffs, 30_000.0, [backoff.first(True) for backoff in backoffs])
     assert all(at is not None and at < 20_000.0 for at in done)
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -142,7 +142,7 @@
 
 def test_a_caller_that_goes_away_leaves_the_console_working():
     console = Console()
-    caller = Client(console.desk, console.door)
+    caller = Client(console.desk, console.listener)
     caller.send(b"POST /-/workers/w1/disa")
     caller.pipe.break_off()
     assert state(console.desk, 1) == State.READY and ask(console, "disable") == 200
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -14,14 +14,14 @@
 from eiderfield.batch.jobs import Book
 from eiderfield.exchange import Exchange
 from eiderfield.interface import Scope
-from eiderfield.net.clients import Door
+from eiderfield.net.clients import Listener
 from eiderfield.net.worker import WorkerSide
 
 JOBS = int(os.environ.get("BATCH_JOBS", "1500"))  # `make batch` plays 10,000
 
 
 class Batch:
-    """A dispatcher with its batch door and one client of it."""
+    """A dispatcher with its batch listener and one client of it."""
 
     def __init__(
         self, workers=1, site=SITE, finished_most=100, finished_age=60_000.0, jobs_most=1000, size=10**7
@@ -30,8 +30,8 @@
         self.book = Book(
             self.desk.exchange, self.desk.clock, "n0", jobs_most, finished_most, finished_age, size
         )
-        self.door = Door(BatchFront(self.book), self.desk.wheel, self.desk.clock, 50)
-        self.client = Client(self.desk, self.door)
+        self.listener = Listener(BatchFront(self.book), self.desk.wheel, self.desk.clock, 50)
+        self.client = Client(self.desk, self.listener)
 
     def ask(self, method, path, told=None):
         [(status, head, body)] = self.client.ask(method, path, told)
@@ -52,7 +52,7 @@
 def test_a_job_goes_from_queued_to_done_and_its_waiter_hears_at_once():
     batch = Batch()
     job = batch.run(subject="field-7", body="wet")
-    waiter = Client(batch.desk, batch.door)
+    waiter = Client(batch.desk, batch.listener)
     assert batch.status(job)["state"] == "queued_active"
     assert waiter.ask("GET", f"/v1/jobs/{job}/wait?timeoutMs=9000") == []
     end = batch.desk.dials[0].up()
@@ -68,7 +68,7 @@
 def test_a_wait_that_takes_too_long_gets_drmaas_timeout():
     batch = Batch()
     job = batch.run()
-    waiter = Client(batch.desk, batch.door)
+    waiter = Client(batch.desk, batch.listener)
     waiter.ask("GET", f"/v1/jobs/{job}/wait?timeoutMs=100")
     batch.desk.advance(200.0)
     [(status, _, body)] = waiter.answers()
@@ -177,7 +177,7 @@
 
 def test_a_batch_that_ends_takes_no_more():
     batch = Batch()
-    batch.door.draining = True
+    batch.listener.draining = True
     status, head, told = batch.ask("POST", "/v1/jobs", {"jobClass": "safe"})
     assert (status, told["error"]) == (503, "TryLaterException") and head.get("retry-after")
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -41,29 +41,29 @@
     reset, which took the last answer along where the client had not read it yet."""
     phone = served(house)
     if why == "the program ends":
-        house.door.leaving = True
-        house.door.close_quiet()
+        house.listener.leaving = True
+        house.listener.close_quiet()
     else:
-        [connection] = house.door._connections
+        [connection] = house.listener._connections
         house.desk.now += KEPT.keep
         connection._late()
     phone.send(message("r1"))  # after the look, before the loop's next turn
     house.turn()
     assert rest(phone).startswith(b"HTTP/1.1 200 ")
     assert not house.desk.exchange.unanswered and [end.came for end in house.desk.ends] == [["r0"]]
-    assert house.door.figures()["discarded"] == 1
+    assert house.listener.figures()["discarded"] == 1
     phone.sock.close()
     house.turn()
-    assert not house.door._connections, "the client's own close ends it"
+    assert not house.listener._connections, "the client's own close ends it"
 
 
 def test_who_neither_reads_nor_closes_is_closed_after_the_lingering(house):
     phone = served(house)
-    house.door.close_quiet()
+    house.listener.close_quiet()
     house.turn()
-    assert house.door._connections
+    assert house.listener._connections
     house.pass_time(LINGER + 2 * TICK)
-    assert not house.door._connections and rest(phone).startswith(b"HTTP/1.1 200 ")
+    assert not house.listener._connections and rest(phone).startswith(b"HTTP/1.1 200 ")
 
 
 def test_a_last_answer_that_is_on_its_way_gives_way_to_nobody_for_a_while():
@@ -72,11 +72,11 @@
     phone = Phone(house)
     phone.send(b"POST /none HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
     house.turn()
-    [connection] = house.door._connections
+    [connection] = house.listener._connections
     assert connection.phase == Phase.LINGERING
-    assert not house.door.make_room(), "its answer has not arrived"
+    assert not house.listener.make_room(), "its answer has not arrived"
     house.pass_time(YOUNG + 2 * TICK)
-    assert house.door.make_room()
+    assert house.listener.make_room()
     house.turn()
     assert phone.statuses() == [404]
     house.close()
@@ -88,18 +88,18 @@
     phone.send(b"POST /none HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
     house.turn()
     assert phone.statuses() == [404]
-    assert house.door.make_room()
+    assert house.listener.make_room()
     house.close()
 
 
 def test_parked_connections_are_closed_as_others_are():
     house = House(IDLING)
     [phone] = house.parked()
-    house.door.leaving = True
-    house.door.close_quiet()
+    house.listener.leaving = True
+    house.listener.close_quiet()
     phone.sock.settimeout(0)
     house.turn()
-    assert rest(phone) == b"" and not house.door.connections
+    assert rest(phone) == b"" and not house.listener.connections
     house.close()
 
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,7 +7,7 @@
 
 from eiderfield.interface import State
 from eiderfield.net.backoff import DIAL
-from eiderfield.net.clients import YOUNG, Door
+from eiderfield.net.clients import YOUNG, Listener
 from eiderfield.net.console import WAIT, ConsoleFront
 from eiderfield.net.routing import SILENCE, Watcher
 from eiderfield.net.wheel import TICK
@@ -22,13 +22,13 @@
         self.desk = Desk(**more)
         self.ready = True
         desk = self.desk
-        crowd = lambda: {"connections": desk.door.figures()}  # noqa: E731
+        crowd = lambda: {"connections": desk.listener.figures()}  # noqa: E731
         front = ConsoleFront(desk.exchange, desk.table, desk.clock, lambda: self.ready, crowd)
-        self.door = Door(front, self.desk.wheel, self.desk.clock, CALLERS, WAIT)
+        self.listener = Listener(front, self.desk.wheel, self.desk.clock, CALLERS, WAIT)
 
     def call(self, path, method="GET"):
         """One call's status and body, after which its connection takes nothing more."""
-        caller = Client(self.desk, self.door)
+        caller = Client(self.desk, self.listener)
         [(status, _, body)] = caller.ask(method, path)
         assert caller.pipe.ended
         return status, body
@@ -124,11 +124,11 @@
 
 def test_callers_that_complete_no_call_keep_nobody_out():
     console = Console()
-    hanging = [Client(console.desk, console.door) for _ in range(CALLERS)]
+    hanging = [Client(console.desk, console.listener) for _ in range(CALLERS)]
     for caller in hanging:
         caller.send(b"GET /-/re")
     console.desk.advance(YOUNG)
-    assert console.door.make_room() and console.call("/-/ready")[0] == 200
+    assert console.listener.make_room() and console.call("/-/ready")[0] == 200
     console.desk.advance(WAIT + 2 * TICK)
     assert all(not caller.pipe.open or caller.pipe.ended for caller in hanging)
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -40,8 +40,8 @@
 
     def connect(self):
         dial = self.desk.dials.pop()
-        self.pipe = Pipe(dial.line)
-        dial.line.connection_made(self.pipe)
+        self.pipe = Pipe(dial.connection)
+        dial.connection.connection_made(self.pipe)
         self.parser = Parser()
 
     def query(self):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -124,7 +124,7 @@
 
     desk = Desk(workers=1)
     desk.exchange.custodian = claiming = Claiming()
-    front = desk.door.front
+    front = desk.listener.front
     submit = desk.exchange.submit
     desk.exchange.submit = lambda authorisation, answer: submit(authorisation, answer, kept=True)
     assert front is not None
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -36,11 +36,11 @@
         theirs.setblocking(False)
         ours.send(message(f"r{number + 1}"))
         ours.close()
-        house.door._listener.waiting.append((theirs, ("192.0.2.1", 1)))
-        house.door._accept()
+        house.listener._socket.waiting.append((theirs, ("192.0.2.1", 1)))
+        house.listener._accept()
         house.turn(12)
     assert not house.desk.dials and end.take() == [] and not house.desk.exchange.unanswered
-    assert house.door.figures()["departed"] == 3
+    assert house.listener.figures()["departed"] == 3
     assert first.send(message("r9")) and (house.turn(12) or end.take() == ["r9"]), "who stays is served"
 
 
@@ -58,7 +58,7 @@
     while phone_takes(phone, message(f"more{number}")) and number < 2 * PIPELINED // len(message()):
         number += 1
         house.turn(1)
-    [connection] = house.door._connections
+    [connection] = house.listener._connections
     assert not connection._transport.is_reading()
     if how == "closes":
         phone.sock.close()
@@ -67,7 +67,7 @@
     else:
         phone.sock.shutdown(socket.SHUT_RDWR)
     house.turn()
-    assert not end.pipe.open and not house.desk.exchange.unanswered and not house.door._connections
+    assert not end.pipe.open and not house.desk.exchange.unanswered and not house.listener._connections
     house.pass_time(2000.0)
     assert not house.desk.dials and end.came == ["r0"]
 
@@ -86,15 +86,15 @@
         count += 1
         house.turn(count % AT_ONCE == 0)
     assert count * len(message()) > PIPELINED
-    assert house.door.departures._watched
+    assert house.listener.departures._watched
     while len(statuses) < count:
         house.work()
         house.pass_time(5.0)
         statuses += phone.statuses()
-    assert statuses == [200] * count and phone.open and not house.door.departures._watched
+    assert statuses == [200] * count and phone.open and not house.listener.departures._watched
     phone.sock.close()
     house.turn()
-    assert not house.door._connections
+    assert not house.listener._connections
 
 
 def test_a_client_that_leaves_its_answer_unread_and_goes_is_noticed(house):
@@ -103,11 +103,11 @@
     phone.send(message("r0"))
     house.turn()
     end = house.desk.dials[0].up()
-    [connection] = house.door._connections
+    [connection] = house.listener._connections
     connection.pause_writing()
     phone.sock.close()
     house.turn()
-    assert not house.door._connections and not house.desk.exchange.unanswered and not end.pipe.open
+    assert not house.listener._connections and not house.desk.exchange.unanswered and not end.pipe.open
 
 
 def test_a_departure_says_nothing_of_the_worker_that_had_the_job(house):
--- a/tests/test_full_house.py
+++ b/tests/test_full_house.py
@@ -26,13 +26,13 @@
         self.old = House(idling, most=1000, loop=self.loop)
         self.new = House(idling, most=room, loop=self.loop)
         self.houses = [self.old, self.new]
-        self.old.door._listener = socket.create_server(("127.0.0.1", 0))
-        self.old.door._listener.setblocking(False)
-        self.new.door._listener.close()
-        self.new.door._listener = None
+        self.old.listener._socket = socket.create_server(("127.0.0.1", 0))
+        self.old.listener._socket.setblocking(False)
+        self.new.listener._socket.close()
+        self.new.listener._socket = None
         self.phones = [Phone(self.old, given=Given(True, self.old.desk.now)) for _ in range(count)]
         self.old.pass_time(IDLING.park_after + 10.0)
-        assert self.old.door.parked == count
+        assert self.old.listener.parked == count
         self.new.desk.now = self.old.desk.now
         self.ends = []
         self.wires = here, there = Wire(), Wire()
@@ -40,7 +40,8 @@
         for house in self.houses:
             d = house.desk
             self.ends.append(Handover(
-                self.loop, d.exchange, d.table, d.side, {LISTEN: d.door}, d.wheel, d.clock, d.logged.append
+                self.loop, d.exchange, d.table, d.side, {LISTEN: d.listener}, d.wheel, d.clock,
+                d.logged.append,
             ))  # fmt: skip
         self.ends[0].heard(here)
         self.ends[1].ask(there, lambda: None)
@@ -69,17 +70,17 @@
         """The new process (1) or the old one (0) dies: the kernel closes what it alone holds."""
         dead = self.houses[which]
         self.wires[which].close()
-        dead.door.departs = lambda keys: None
-        for connection in list(dead.door._connections):
+        dead.listener.departs = lambda keys: None
+        for connection in list(dead.listener._connections):
             connection.abort()
-        dead.door.close()
+        dead.listener.close()
         dead.turn()
         self.houses = [house for house in self.houses if house is not dead]
         self.ends[1 - which]._link.lost()
 
     def close(self):
         for house in self.houses:
-            house.door.close()
+            house.listener.close()
         self.old.turn()
         self.loop.close()
 
@@ -100,11 +101,13 @@
 
 def test_a_full_house_passes_on_in_batches_and_every_phone_is_served_by_the_new_process(removal):
     removal.go()
-    assert removal.new.door.parked == len(removal.phones) and removal.old.door.parked == 0
-    assert removal.old.door.figures()["lent"] == len(removal.phones) and removal.old.door.connections == 0
+    assert removal.new.listener.parked == len(removal.phones) and removal.old.listener.parked == 0
+    old = removal.old.listener
+    assert old.figures()["lent"] == len(removal.phones) and old.connections == 0
     for number, phone in enumerate(removal.phones[:20]):
         assert asked(removal, phone, f"r{number}") == [200]
-    assert removal.old.door.figures()["lent"] == len(removal.phones) - 20, "what woke is the new one's alone"
+    lent = removal.old.listener.figures()["lent"]
+    assert lent == len(removal.phones) - 20, "what woke is the new one's alone"
 
 
 def test_what_is_on_its_way_is_bounded(removal):
@@ -123,7 +126,7 @@
     for _ in range(steps):
         removal.step()
     woken = removal.phones[-1]  # the first of its second
-    taken = removal.new.door.parked
+    taken = removal.new.listener.parked
     if taken:
         woken.send(message("lost"))
         removal.new.turn()
@@ -131,7 +134,7 @@
     removal.kill(1)
     for _ in range(5):
         removal.old.pass_time(8.0)
-    assert removal.old.door.connections == len(removal.phones) - bool(taken)
+    assert removal.old.listener.connections == len(removal.phones) - bool(taken)
     assert woken.open == (not taken), "a connection that the dead process was reading ends with it"
     for number, phone in enumerate(removal.phones[:5]):
         assert asked(removal, phone, f"r{number}") == [200]
@@ -140,7 +143,7 @@
 def test_without_copies_nothing_counts_twice_and_nothing_is_lost_in_a_usual_upgrade():
     removal = Removal(BATCH + 5, IDLING)
     removal.go()
-    assert removal.old.door.figures()["lent"] == 0 and removal.new.door.parked == BATCH + 5
+    assert removal.old.listener.figures()["lent"] == 0 and removal.new.listener.parked == BATCH + 5
     removal.kill(0)
     assert asked(removal, removal.phones[0], "r") == [200]
     removal.close()
@@ -149,30 +152,31 @@
 def test_the_end_of_the_old_process_leaves_all_with_the_new_one(removal):
     removal.go()
     removal.kill(0)
-    assert removal.new.door.parked == len(removal.phones)
+    assert removal.new.listener.parked == len(removal.phones)
     for number, phone in enumerate(removal.phones[:5]):
         assert asked(removal, phone, f"r{number}") == [200]
-    assert not removal.new.door._lot.departed, "there is nobody to tell any more"
+    assert not removal.new.listener._lot.departed, "there is nobody to tell any more"
 
 
 def test_what_the_new_process_closes_is_over_for_its_client_though_there_was_a_copy(removal):
     removal.go()
     removal.new.pass_time(IDLING.keep + 2000.0)
-    assert removal.new.door.parked == 0 and any(phone.open for phone in removal.phones)
+    assert removal.new.listener.parked == 0 and any(phone.open for phone in removal.phones)
     removal.go()
-    assert not any(phone.open for phone in removal.phones) and removal.old.door.figures()["lent"] == 0
+    assert not any(phone.open for phone in removal.phones) and removal.old.listener.figures()["lent"] == 0
 
 
 def test_what_the_new_process_has_no_room_for_stays_until_the_old_one_ends():
     removal = Removal(BATCH + 50, room=BATCH)
     removal.go()
-    assert removal.new.door.parked == 50 and removal.old.door.parked == BATCH, "both are one dispatcher"
+    assert removal.new.listener.parked == 50, "both are one dispatcher"
+    assert removal.old.listener.parked == BATCH
     assert asked(removal, removal.phones[0], "r") == [200], "at the old process"
     removal.ends[0].leave([LISTEN])
     for _ in range(40):
         removal.ends[0].look()
         removal.go()
-    assert removal.old.door.connections == 0
+    assert removal.old.listener.connections == 0
     assert all(phone.open for phone in removal.phones)
     removal.kill(0)
     assert asked(removal, removal.phones[50], "s") == [200]
@@ -182,10 +186,10 @@
 def test_a_new_process_that_parks_nobody_takes_them_as_they_are():
     """It has the only descriptor of each: refused, they would be closed."""
     removal = Removal(30, IDLING)
-    removal.new.door._lot = None
-    removal.new.door.idling = replace(IDLING, park_after=inf)
+    removal.new.listener._lot = None
+    removal.new.listener.idling = replace(IDLING, park_after=inf)
     removal.go()
-    assert removal.new.door.connections == 30 and removal.new.door.parked == 0
+    assert removal.new.listener.connections == 30 and removal.new.listener.parked == 0
     assert asked(removal, removal.phones[3], "r") == [200] and all(phone.open for phone in removal.phones)
     removal.close()
 
@@ -197,9 +201,9 @@
     for idling, there in ((IDLING, 30), (COPIES, 0)):
         removal = Removal(30, idling)
         with monkeypatch.context() as patched:
-            patched.setattr(removal.new.door._lot, "park", partial(full, removal.new.door._lot))
+            patched.setattr(removal.new.listener._lot, "park", partial(full, removal.new.listener._lot))
             removal.go()
-        assert removal.new.door.connections == there and removal.old.door.connections == 30 - there
+        assert removal.new.listener.connections == there and removal.old.listener.connections == 30 - there
         assert all(phone.open for phone in removal.phones)
         assert asked(removal, removal.phones[3], "r") == [200]
         removal.close()
@@ -217,17 +221,17 @@
     removal.go()
     monkeypatch.undo()
     removal.settle()
-    assert removal.old.door.connections + removal.new.door.connections == len(removal.phones)
+    assert removal.old.listener.connections + removal.new.listener.connections == len(removal.phones)
     assert asked(removal, removal.phones[0], "r") == [200]
 
 
 def test_what_is_parked_later_follows(removal):
     late = Phone(removal.old, given=Given(True, removal.old.desk.now))
     removal.go()
-    assert removal.old.door.connections == 1
+    assert removal.old.listener.connections == 1
     removal.old.pass_time(IDLING.park_after + 10.0)
     removal.go()
-    assert removal.old.door.connections == 0 and asked(removal, late, "r") == [200]
+    assert removal.old.listener.connections == 0 and asked(removal, late, "r") == [200]
 
 
 def test_a_process_of_the_version_before_gets_them_one_by_one():
@@ -236,12 +240,12 @@
     real = removal.wires[1].send
     removal.wires[1].send = lambda told, fds=(): real({k: v for k, v in told.items() if k != "parks"}, fds)
     removal.go()
-    assert removal.old.door.parked == 20 and removal.new.door.parked == 0
+    assert removal.old.listener.parked == 20 and removal.new.listener.parked == 0
     removal.ends[0].leave([LISTEN])
     for _ in range(5):
         removal.ends[0].look()
         removal.go()
-    assert removal.old.door.connections == 0 and asked(removal, removal.phones[3], "r") == [200]
+    assert removal.old.listener.connections == 0 and asked(removal, removal.phones[3], "r") == [200]
     removal.close()
 
 
@@ -283,7 +287,7 @@
     @rule()
     def die(self):
         self.dead = True
-        held = {a._sock.fileno() for a in self.removal.new.door._connections}
+        held = {a._sock.fileno() for a in self.removal.new.listener._connections}
         lost = len(held)
         self.removal.kill(1)
         self.removal.settle()
--- a/tests/test_governor.py
+++ b/tests/test_governor.py
@@ -1,4 +1,4 @@
-"""The governor at the door, against plain counts."""
+"""The governor, against plain counts."""
 
 from collections import Counter
 from dataclasses import replace
@@ -38,117 +38,118 @@
 
 
 def test_one_address_with_thousands_leaves_the_others_their_room():
-    door = governor(address=Quota(held=10), prefix=Quota(held=25))
-    taken = [door.comes("192.0.2.1", 0.0) for _ in range(10_000)]
+    house = governor(address=Quota(held=10), prefix=Quota(held=25))
+    taken = [house.comes("192.0.2.1", 0.0) for _ in range(10_000)]
     assert sum(isinstance(come, int) for come in taken) == 10
     assert {reason(come) for come in taken[10:]} == {Reason.ADDRESS_HELD}
-    neighbours = [door.comes(f"192.0.2.{n}", 0.0) for n in range(2, 30)]
+    neighbours = [house.comes(f"192.0.2.{n}", 0.0) for n in range(2, 30)]
     assert Counter(map(reason, neighbours)) == {None: 15, Reason.PREFIX_HELD: 13}
-    assert isinstance(door.comes("198.51.100.1", 0.0), int)
-    assert door.figures()["address_held"] == 9990
+    assert isinstance(house.comes("198.51.100.1", 0.0), int)
+    assert house.figures()["address_held"] == 9990
 
 
 def test_who_comes_too_fast_is_closed_without_a_word_and_may_come_later():
-    door = governor(address=Quota(rate=2.0, burst=3.0))
-    come = [door.comes("192.0.2.1", 0.0) for _ in range(5)]
+    house = governor(address=Quota(rate=2.0, burst=3.0))
+    come = [house.comes("192.0.2.1", 0.0) for _ in range(5)]
     assert [reason(c) for c in come] == [None, None, None, Reason.ADDRESS_RATE, Reason.ADDRESS_RATE]
     assert not come[-1].answer and come[-1].retry_after == 500.0
-    assert reason(door.comes("192.0.2.1", 499.0)) == Reason.ADDRESS_RATE
-    assert reason(door.comes("192.0.2.1", 500.0)) is None
-    assert [reason(door.comes("192.0.2.1", 60_000.0)) for _ in range(4)] == [None] * 3 + [Reason.ADDRESS_RATE]
+    assert reason(house.comes("192.0.2.1", 499.0)) == Reason.ADDRESS_RATE
+    assert reason(house.comes("192.0.2.1", 500.0)) is None
+    came = [reason(house.comes("192.0.2.1", 60_000.0)) for _ in range(4)]
+    assert came == [None] * 3 + [Reason.ADDRESS_RATE]
 
 
 def test_a_clock_that_runs_backwards_fills_no_bucket_and_empties_none():
-    door = governor(address=Quota(rate=1.0, burst=1.0))
-    assert reason(door.comes("192.0.2.1", 10_000.0)) is None
-    assert reason(door.comes("192.0.2.1", 5000.0)) == Reason.ADDRESS_RATE
-    assert reason(door.comes("192.0.2.1", 11_000.0)) is None
+    house = governor(address=Quota(rate=1.0, burst=1.0))
+    assert reason(house.comes("192.0.2.1", 10_000.0)) is None
+    assert reason(house.comes("192.0.2.1", 5000.0)) == Reason.ADDRESS_RATE
+    assert reason(house.comes("192.0.2.1", 11_000.0)) is None
 
 
 def test_half_sent_messages_are_counted_by_source_and_given_back():
-    door = governor(address=Quota(begun=2), prefix=Quota(begun=3))
-    tickets = [door.comes(f"192.0.2.{last}", 0.0) for last in (1, 1, 1, 2, 2)]
-    assert [reason(door.begins(t)) for t in tickets] == [
+    house = governor(address=Quota(begun=2), prefix=Quota(begun=3))
+    tickets = [house.comes(f"192.0.2.{last}", 0.0) for last in (1, 1, 1, 2, 2)]
+    assert [reason(house.begins(t)) for t in tickets] == [
         None, None, Reason.ADDRESS_BEGUN, None, Reason.PREFIX_BEGUN,
     ]  # fmt: skip
-    door.ends(tickets[0])
-    assert door.begins(tickets[2]) is None
+    house.ends(tickets[0])
+    assert house.begins(tickets[2]) is None
 
 
 def test_a_drip_extends_nothing_and_a_body_that_flows_gets_the_time_of_the_whole():
     pace = Pace(whole=2800.0, head=1000.0, body_rate=1000.0, body_grace=200.0, head_crowded=300.0)
-    door = governor(pace=pace)
-    assert door.head_until(50.0) == Limit(1050.0, Reason.SLOW_HEAD)
-    assert door.body_until(0.0, 500.0, 0) == Limit(700.0, Reason.SLOW_BODY)
-    assert door.body_until(0.0, 500.0, 1000).at == 1700.0
-    assert door.body_until(0.0, 500.0, 10**9).at == 2800.0
-    door.tell(0.0, HOUSE, 0.0)
-    assert door.head_until(50.0).at == 350.0
-    door.late(door.head_until(50.0))
-    assert door.figures()["slow_head"] == 1
+    house = governor(pace=pace)
+    assert house.head_until(50.0) == Limit(1050.0, Reason.SLOW_HEAD)
+    assert house.body_until(0.0, 500.0, 0) == Limit(700.0, Reason.SLOW_BODY)
+    assert house.body_until(0.0, 500.0, 1000).at == 1700.0
+    assert house.body_until(0.0, 500.0, 10**9).at == 2800.0
+    house.tell(0.0, HOUSE, 0.0)
+    assert house.head_until(50.0).at == 350.0
+    house.late(house.head_until(50.0))
+    assert house.figures()["slow_head"] == 1
 
 
 def test_a_crowd_at_the_marks_does_not_make_the_house_flap():
-    door = governor(descriptors=Marks(0.9, 0.7), hold=1000.0, keep_crowded=5000.0)
+    house = governor(descriptors=Marks(0.9, 0.7), hold=1000.0, keep_crowded=5000.0)
     told = []
     for step in range(200):  # a crowd that swings between 85 and 95 every 50 ms
-        door.tell(step * 50.0, 95 if step % 2 else 85, 0.0)
-        told.append(door.crowded)
-    assert told[0] is False and all(told[1:]) and door.keep(60_000.0) == 5000.0
-    door.tell(10_400.0, 60, 0.0)
-    assert door.crowded, "it has been crowded for less than its time"
-    door.tell(11_000.0, 60, 0.0)
-    assert not door.crowded and door.keep(60_000.0) == 60_000.0
+        house.tell(step * 50.0, 95 if step % 2 else 85, 0.0)
+        told.append(house.crowded)
+    assert told[0] is False and all(told[1:]) and house.keep(60_000.0) == 5000.0
+    house.tell(10_400.0, 60, 0.0)
+    assert house.crowded, "it has been crowded for less than its time"
+    house.tell(11_000.0, 60, 0.0)
+    assert not house.crowded and house.keep(60_000.0) == 60_000.0
 
 
 def test_in_a_crowded_house_one_address_has_a_share_and_no_more():
-    door = governor(crowded_share=0.1)
+    house = governor(crowded_share=0.1)
     for _ in range(40):
-        assert isinstance(door.comes("192.0.2.1", 0.0), int)
-    door.tell(0.0, 96, 0.0)
-    assert reason(door.comes("192.0.2.1", 0.0)) == Reason.CROWDED_SHARE
-    assert isinstance(door.comes("192.0.2.2", 0.0), int)
+        assert isinstance(house.comes("192.0.2.1", 0.0), int)
+    house.tell(0.0, 96, 0.0)
+    assert reason(house.comes("192.0.2.1", 0.0)) == Reason.CROWDED_SHARE
+    assert isinstance(house.comes("192.0.2.2", 0.0), int)
 
 
 def test_short_memory_makes_the_house_as_large_as_what_it_holds_and_no_smaller_later():
     """Refusing all until memory came back would refuse them for ever: what was taken may stay taken."""
-    door = governor(hold=0.0)
-    door.tell(0.0, 60, 0.96)
-    assert door.house == 60 and door.crowded
-    door.tell(1.0, 20, 0.96)  # at night most leave
-    assert door.house == 60
-    door.tell(2.0, 20, 0.90)
-    assert door.house == 60
-    door.tell(3.0, 20, 0.84)
-    assert door.house == HOUSE
-    door.tell(4.0, 3, 0.99)
-    assert door.house == LEAST
+    house = governor(hold=0.0)
+    house.tell(0.0, 60, 0.96)
+    assert house.house == 60 and house.crowded
+    house.tell(1.0, 20, 0.96)  # at night most leave
+    assert house.house == 60
+    house.tell(2.0, 20, 0.90)
+    assert house.house == 60
+    house.tell(3.0, 20, 0.84)
+    assert house.house == HOUSE
+    house.tell(4.0, 3, 0.99)
+    assert house.house == LEAST
     small = governor(most=4)
     small.tell(0.0, 1, 0.99)
     assert small.house == 4
 
 
 def test_entries_that_hold_nothing_are_forgotten_and_those_that_owe_are_not():
-    door = governor(address=Quota(rate=0.001, burst=1.0))
-    assert reason(door.comes("192.0.2.1", 0.0)) is None
+    house = governor(address=Quota(rate=0.001, burst=1.0))
+    assert reason(house.comes("192.0.2.1", 0.0)) is None
     for number in range(5 * FORGET_AT):
-        door.goes(door.joins(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 0.0))
-    assert door.figures()["addresses"] < 3 * FORGET_AT
-    assert reason(door.comes("192.0.2.1", 1.0)) == Reason.ADDRESS_RATE, "its bucket is not full yet"
+        house.goes(house.joins(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 0.0))
+    assert house.figures()["addresses"] < 3 * FORGET_AT
+    assert reason(house.comes("192.0.2.1", 1.0)) == Reason.ADDRESS_RATE, "its bucket is not full yet"
 
 
 def test_prefixes_of_another_length_are_counted_anew():
-    door = governor(prefix=Quota(held=3))
+    house = governor(prefix=Quota(held=3))
     for last in (1, 2, 3):
-        assert isinstance(door.comes(f"192.0.2.{last}", 0.0), int)
+        assert isinstance(house.comes(f"192.0.2.{last}", 0.0), int)
     for last in (1, 2):
-        assert isinstance(door.comes(f"2001:db8:{last}::1", 0.0), int)
-    assert reason(door.comes("192.0.2.4", 0.0)) == Reason.PREFIX_HELD
-    door.change(replace(door.admission, prefix_v4=30, prefix_v6=32))
-    assert reason(door.comes("192.0.2.4", 0.0)) is None
-    assert reason(door.comes("192.0.2.2", 0.0)) == Reason.PREFIX_HELD
-    assert reason(door.comes("2001:db8:9::1", 0.0)) is None
-    assert reason(door.comes("2001:db8:8::1", 0.0)) == Reason.PREFIX_HELD
+        assert isinstance(house.comes(f"2001:db8:{last}::1", 0.0), int)
+    assert reason(house.comes("192.0.2.4", 0.0)) == Reason.PREFIX_HELD
+    house.change(replace(house.admission, prefix_v4=30, prefix_v6=32))
+    assert reason(house.comes("192.0.2.4", 0.0)) is None
+    assert reason(house.comes("192.0.2.2", 0.0)) == Reason.PREFIX_HELD
+    assert reason(house.comes("2001:db8:9::1", 0.0)) is None
+    assert reason(house.comes("2001:db8:8::1", 0.0)) == Reason.PREFIX_HELD
 
 
 ADDRESSES = ["192.0.2.1", "192.0.2.2", "192.0.3.1", "2001:db8::1", "2001:db8:0:1::1", "2001:db9::1"]
@@ -165,7 +166,7 @@
 @given(st.lists(STEP, max_size=80))
 def test_its_counts_are_those_of_what_is_there(steps):
     quota = Admission(Quota(3, 2, 5.0, 4.0), Quota(5, 3, 50.0, 20.0))
-    door, now, there, begun = Governor(quota, HOUSE), 0.0, [], []
+    house, now, there, begun = Governor(quota, HOUSE), 0.0, [], []
     prefixes = (24, 48)
 
     def count(those, which, key):
@@ -174,7 +175,7 @@
     for what, value in steps:
         if what in ("comes", "joins"):
             keys = key_of(value, *prefixes)
-            come = getattr(door, what)(value, now)
+            come = getattr(house, what)(value, now)
             if reason(come) in (Reason.ADDRESS_HELD, Reason.PREFIX_HELD):
                 which = reason(come) == Reason.PREFIX_HELD
                 assert count(there, which, keys[which]) >= (quota.address, quota.prefix)[which].held
@@ -188,8 +189,8 @@
             one = there.pop(value % len(there))
             if one in begun and begun.count(one) > there.count(one):
                 begun.remove(one)
-                door.ends(one[0])
-            door.goes(one[0])
+                house.ends(one[0])
+            house.goes(one[0])
         elif what == "begins" and there:
             one = there[value % len(there)]
             if begun.count(one) >= there.count(one):
@@ -198,23 +199,23 @@
                 count(begun, which, key) >= (quota.address, quota.prefix)[which].begun
                 for which, key in enumerate(key_of(one[1], *prefixes))
             ]
-            refusal = door.begins(one[0])
+            refusal = house.begins(one[0])
             assert (refusal is not None) == any(refused)
             if refusal is None:
                 begun.append(one)
         elif what == "ends" and begun:
-            door.ends(begun.pop(value % len(begun))[0])
+            house.ends(begun.pop(value % len(begun))[0])
         elif what == "change":
             prefixes = value
-            door.change(replace(quota, prefix_v4=value[0], prefix_v6=value[1]))
+            house.change(replace(quota, prefix_v4=value[0], prefix_v6=value[1]))
         elif what == "wait":
             now += value
-        assert sum(door._addresses.held) == sum(door._prefixes.held) == len(there)
-        assert sum(door._addresses.begun) == sum(door._prefixes.begun) == len(begun)
-        assert door._addresses.empty == sum(not door._addresses.held[e] for e in door._addresses.keys)
+        assert sum(house._addresses.held) == sum(house._prefixes.held) == len(there)
+        assert sum(house._addresses.begun) == sum(house._prefixes.begun) == len(begun)
+        assert house._addresses.empty == sum(not house._addresses.held[e] for e in house._addresses.keys)
 
 
 def test_without_limits_everybody_comes():
-    door = governor()
-    assert all(isinstance(door.comes("192.0.2.1", 0.0), int) for _ in range(5000))
-    assert door.begins(door.joins("192.0.2.1", 0.0)) is None and door.keep(inf) == inf
+    house = governor()
+    assert all(isinstance(house.comes("192.0.2.1", 0.0), int) for _ in range(5000))
+    assert house.begins(house.joins("192.0.2.1", 0.0)) is None and house.keep(inf) == inf
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -29,7 +29,7 @@
 
 
 class Loop:
-    """What of an event loop the doors use here: who reads what."""
+    """What of an event loop the listeners use here: who reads what."""
 
     def __init__(self):
         self.reads = set()
@@ -76,7 +76,7 @@
         self.loop = Loop()
         d = self.desk
         self.handover = Handover(
-            self.loop, d.exchange, d.table, d.side, {LISTEN: d.door}, d.wheel, d.clock, d.logged.append
+            self.loop, d.exchange, d.table, d.side, {LISTEN: d.listener}, d.wheel, d.clock, d.logged.append
         )
         self.done = False
 
@@ -84,7 +84,7 @@
         self.done = True
 
     def takes(self):
-        return self.desk.door._listener in self.loop.reads
+        return self.desk.listener._socket in self.loop.reads
 
 
 class Pair:
@@ -93,7 +93,7 @@
     def __init__(self, **more):
         self.old, self.new = Side(**more), Side(workers=0)
         listener = socket.create_server(("127.0.0.1", 0))
-        self.old.desk.door.adopt(self.old.loop, listener)
+        self.old.desk.listener.adopt(self.old.loop, listener)
         here, there = Wire(), Wire()
         here.peer, there.peer = there, here
         self.wires = here, there
@@ -117,8 +117,8 @@
 
     def close(self):
         for side in (self.old, self.new):
-            if side.desk.door._listener is not None:
-                side.desk.door._listener.close()
+            if side.desk.listener._socket is not None:
+                side.desk.listener._socket.close()
 
 
 @pytest.fixture
@@ -135,7 +135,7 @@
 def test_the_new_process_takes_port_list_and_bans_and_the_old_one_accepts_no_more(pair):
     pair.old.desk.table.ban("w2")
     pair.old.desk.tell((3, "SERVING"), (3, "DELETED"))
-    assert not pair.new.done and not pair.new.desk.door.listening
+    assert not pair.new.done and not pair.new.desk.listener.listening
     pair.go()
     assert pair.new.done and pair.new.takes() and not pair.old.takes() and pair.old.handover.given
     assert [state(pair.new, w) for w in (1, 2)] == [State.READY, State.DRAINING]
@@ -147,7 +147,7 @@
 def test_the_new_process_accepts_only_once_the_old_one_has_stopped(pair):
     pair.wires[1].deliver()
     pair.wires[0].deliver()
-    assert pair.new.desk.door.listening and not pair.new.takes() and not pair.new.done
+    assert pair.new.desk.listener.listening and not pair.new.takes() and not pair.new.done
 
 
 def test_an_id_that_one_process_holds_is_not_taken_by_the_other(pair):
@@ -228,9 +228,9 @@
 def test_connections_are_counted_and_shared_out_together(pair):
     kept = [Client(pair.old.desk) for _ in range(5)]
     pair.go()
-    assert pair.new.desk.door.beside == len(kept)
-    pair.new.desk.door._most = len(kept)
-    assert not pair.new.desk.door.make_room()
+    assert pair.new.desk.listener.beside == len(kept)
+    pair.new.desk.listener._most = len(kept)
+    assert not pair.new.desk.listener.make_room()
     assert pair.old.desk.side._most == pair.new.desk.side._most == pair.old.desk.side._whole // 2
 
 
@@ -247,7 +247,7 @@
     pair.part(1)
     old = pair.old.desk
     assert pair.old.takes() and not pair.old.handover.given and not old.exchange.holds("r")
-    assert old.side._most == old.side._whole and old.door.beside == 0
+    assert old.side._most == old.side._whole and old.listener.beside == 0
     assert bool(heard) == (when == "when all is given")
     old.settle()
     assert not any(worker.beside for worker in old.exchange._module._workers.values())
@@ -258,13 +258,13 @@
     pair.go()
     pair.part(0)
     new = pair.new.desk
-    assert pair.new.takes() and not new.exchange.holds("r") and new.door.beside == 0
+    assert pair.new.takes() and not new.exchange.holds("r") and new.listener.beside == 0
     assert new.side._most == new.side._whole
 
 
 @pytest.mark.parametrize("cut", [0, 20, -1])
 def test_a_client_goes_along_with_what_of_its_next_message_was_read(cut):
-    """Closed on instead, its job would be lost at the door."""
+    """Closed on instead, its job would be lost at the listener."""
     old, new = Desk(), Desk()
     client = Client(old)
     here, there = socket.socketpair()
@@ -278,7 +278,7 @@
             return
         fd, given_away = client.connection.let_go()
         with socket.socket(fileno=fd) as copy:
-            assert not client.pipe.open and not old.door.connections and given_away.begun == message[:cut]
+            assert not client.pipe.open and not old.listener.connections and given_away.begun == message[:cut]
             there.sendall(b"x")
             assert copy.recv(1) == b"x", "the connection itself is open"
         heir = Client(new, given=given_away)
@@ -315,7 +315,7 @@
     for wire in (here, there, here):
         wire.deliver()
     assert third.done and third.takes() and not pair.new.takes() and pair.new.handover.given
-    third.desk.door._listener.close()
+    third.desk.listener._socket.close()
 
 
 def test_a_process_that_waits_waits_no_longer_than_its_patience(pair):
@@ -328,11 +328,11 @@
     """All at once, each would hold a descriptor in both processes, more than the two may have."""
     desk = Desk(most=64)
     clients = [Client(desk) for _ in range(AT_ONCE + 5)]
-    desk.door.heir = lambda let_go: let_go.__self__.abort() is None
-    desk.door.pass_some()
+    desk.listener.heir = lambda let_go: let_go.__self__.abort() is None
+    desk.listener.pass_some()
     assert sum(client.pipe.open for client in clients) == 5
-    desk.door.pass_some()
-    assert not desk.door.connections
+    desk.listener.pass_some()
+    assert not desk.listener.connections
 
 
 WORDS = st.sampled_from(["ask", "state", "taken", "yours", "news", "ban", "client", "wait", "none"])
@@ -346,7 +346,7 @@
     pair = Pair().go()
     for side, wire in zip((pair.old, pair.new), pair.wires, strict=True):
         wire.receive({**told, "is": word}, [])
-        assert side.desk.door.listening
+        assert side.desk.listener.listening
     pair.old.desk.settle()
     pair.close()
 
@@ -386,14 +386,14 @@
         assert wire.sent[1][0]["is"] == "taken" and wire.sent[1][0]["doors"] == [LISTEN]
         wire.receive(FirstForm.YOURS, [])
     assert new.done and new.takes() and wire.open and not [line for line in new.desk.logged if "read" in line]
-    assert new.desk.door.beside == 3 and new.desk.exchange.holds("held")
+    assert new.desk.listener.beside == 3 and new.desk.exchange.holds("held")
     assert state(new, 1) == State.READY and new.desk.table.bans.since == {"w2": 5.0}
-    new.desk.door._listener.close()
+    new.desk.listener._socket.close()
 
 
 def test_an_old_process_hands_over_to_one_of_the_first_form():
     old = Side()
-    old.desk.door.adopt(old.loop, socket.create_server(("127.0.0.1", 0)))
+    old.desk.listener.adopt(old.loop, socket.create_server(("127.0.0.1", 0)))
     wire, there = Wire(), Wire()
     wire.peer = there
     old.handover.heard(wire)
@@ -408,7 +408,7 @@
     old.desk.settle()
     old.desk.advance(8.0)
     assert {told["is"] for told, _ in wire.sent} <= {"state", "yours", "news"}, "no words that it lacks"
-    old.desk.door._listener.close()
+    old.desk.listener._socket.close()
 
 
 def test_a_socket_that_nobody_listens_at_is_no_process(tmp_path):
--- a/tests/test_parking.py
+++ b/tests/test_parking.py
@@ -35,7 +35,7 @@
     return f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id_}\r\nContent-Length: 1\r\n\r\nb".encode()
 
 
-class Listener(socket.socket):
+class Port(socket.socket):
     """Who knocks at it is let in with an address of the test's choice."""
 
     def __init__(self):
@@ -58,10 +58,10 @@
         theirs.setblocking(False)
         self._parser = Parser(answers=True)
         if given is not None:
-            house.door.admit(theirs, given)
+            house.listener.admit(theirs, given)
         else:
-            house.door._listener.waiting.append((theirs, (address, 1)))
-            house.door._accept()
+            house.listener._socket.waiting.append((theirs, (address, 1)))
+            house.listener._accept()
         house.turn()
 
     def send(self, data):
@@ -102,19 +102,19 @@
 
 
 class House:
-    """A desk whose door has a lot and real sockets."""
+    """A desk whose listener has a lot and real sockets."""
 
     def __init__(self, idling=IDLING, most=64, loop=None, **admission):
         self.loop = loop or asyncio.new_event_loop()
         self.desk = Desk(workers=1, most=most)
-        self.door = self.desk.door
+        self.listener = self.desk.listener
         self.memory = 0.0
-        self.governor = self.door.governor = Governor(Admission(**admission), most)
-        self.door._memory = lambda: self.memory
-        self.door._loop = self.loop
-        self.door._listener = Listener()
-        self.door._knocking = lambda: bool(getattr(self.door._listener, "waiting", ()))
-        self.door.idle(idling)
+        self.governor = self.listener.governor = Governor(Admission(**admission), most)
+        self.listener._memory = lambda: self.memory
+        self.listener._loop = self.loop
+        self.listener._socket = Port()
+        self.listener._knocking = lambda: bool(getattr(self.listener._socket, "waiting", ()))
+        self.listener.idle(idling)
 
     def turn(self, turns=8):
         """A few turns of the loop; it never waits."""
@@ -149,11 +149,11 @@
             phones.append(Phone(self))
             assert phones[-1].ask(f"first{number}") == [200]
         self.pass_time(IDLING.park_after + 2 * TICK)
-        assert self.door.parked == count and not self.door._connections
+        assert self.listener.parked == count and not self.listener._connections
         return phones
 
     def close(self):
-        self.door.close()
+        self.listener.close()
         self.turn()
         assert not any(self.governor._addresses.held) and not any(self.governor._addresses.begun)
         self.loop.close()
@@ -168,10 +168,10 @@
 
 def test_a_quiet_connection_is_parked_and_its_next_job_finds_it_as_it_was(house):
     [phone] = house.parked()
-    assert phone.open and house.door.connections == 1
-    assert phone.ask("r2") == [200] and house.door.parked == 0
+    assert phone.open and house.listener.connections == 1
+    assert phone.ask("r2") == [200] and house.listener.parked == 0
     house.pass_time(IDLING.park_after + 2 * TICK)
-    assert house.door.parked == 1
+    assert house.listener.parked == 1
     assert phone.ask("r3") == [200]
 
 
@@ -193,7 +193,7 @@
     half.send(b"POST /safe")
     house.turn()
     house.pass_time(WHOLE - 1.0)
-    assert not house.door.parked
+    assert not house.listener.parked
     house.pass_time(100.0)
     assert half.statuses() == [408] and not silent.open
 
@@ -202,18 +202,18 @@
     """The poll set tells levels: what came before the descriptor was in it is told of all the same."""
     phone = Phone(house)
     assert phone.ask("r1") == [200]
-    [connection] = house.door._connections
+    [connection] = house.listener._connections
     phone.send(message("r2"))  # unread, and the timer comes first
     assert not connection.quiet
     connection._late()
-    assert not house.door.parked, "something has come: it stays"
+    assert not house.listener.parked, "something has come: it stays"
     real, connection.__class__ = connection.__class__, type("Deaf", (ClientConnection,), {"quiet": True})
     connection._late()  # the same between the look for unread bytes and the parking
     connection.__class__ = real
-    assert house.door.parked == 1
+    assert house.listener.parked == 1
     house.turn()
     house.work()
-    assert phone.statuses() == [200] and not house.door.parked
+    assert phone.statuses() == [200] and not house.listener.parked
 
 
 def test_a_message_that_begins_at_the_moment_of_expiry_is_answered(house):
@@ -221,7 +221,7 @@
     phone.send(message("r2"))
     house.desk.now += IDLING.keep + 2000.0
     house.desk.wheel.advance(house.desk.now)  # the timer before the loop could tell of the bytes
-    assert house.door.parked == 1
+    assert house.listener.parked == 1
     house.turn()
     house.work()
     assert phone.statuses() == [200]
@@ -236,7 +236,7 @@
         house.pass_time(WHOLE / 10 - 1.0)
         phone.send(b"x")
         house.turn()
-    assert not phone.statuses() and not house.door.parked
+    assert not phone.statuses() and not house.listener.parked
     house.pass_time(100.0)
     assert phone.statuses() == [408], "a drip extends nothing"
 
@@ -246,7 +246,7 @@
     house.pass_time(IDLING.keep - IDLING.park_after - 100.0)
     assert phone.open
     house.pass_time(1200.0)
-    assert not phone.open and not house.door.connections and house.door.figures()["expired"] == 1
+    assert not phone.open and not house.listener.connections and house.listener.figures()["expired"] == 1
     assert house.desk.wheel.next_at() == inf, "nothing wakes a program at rest"
 
 
@@ -257,9 +257,9 @@
     message_and_end.send(b"POST /safe")
     message_and_end.sock.shutdown(socket.SHUT_WR)
     house.turn(1)
-    assert house.door.figures()["left"] == 2 and house.door.figures()["woken"] == 1
+    assert house.listener.figures()["left"] == 2 and house.listener.figures()["woken"] == 1
     house.turn()
-    assert not house.door.connections
+    assert not house.listener.connections
 
 
 def test_a_reset_on_tcp_is_closed_where_it_lies():
@@ -267,14 +267,14 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         client = socket.create_connection(listener.getsockname())
         theirs, _ = listener.accept()
-    house.door.admit(theirs, Given(True, house.desk.now))
+    house.listener.admit(theirs, Given(True, house.desk.now))
     house.turn()
     house.pass_time(IDLING.park_after + 2 * TICK)
-    assert house.door.parked == 1
+    assert house.listener.parked == 1
     client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
     client.close()
     house.turn()
-    assert house.door.figures()["left"] == 1 and not house.door.connections
+    assert house.listener.figures()["left"] == 1 and not house.listener.connections
     house.close()
 
 
@@ -282,22 +282,22 @@
     """A parked connection has no buffer: what was not written yet would be lost."""
     phone = Phone(house)
     assert phone.ask("r1") == [200]
-    [connection] = house.door._connections
+    [connection] = house.listener._connections
     connection._transport.write(b"x" * 4_000_000)
-    assert not house.door.park(connection)
+    assert not house.listener.park(connection)
     house.pass_time(IDLING.park_after * 3)
-    assert not house.door.parked and phone.open
+    assert not house.listener.parked and phone.open
 
 
 def test_thousands_that_end_in_one_second_end_a_few_in_each_tick():
     house = House(most=1000)
     phones = house.parked(3 * END_AT_ONCE)
-    house.pass_time(house.door._ending.tick * TICK - house.desk.now - 1.0)
+    house.pass_time(house.listener._ending.tick * TICK - house.desk.now - 1.0)
     left = []
-    while house.door.connections:
+    while house.listener.connections:
         house.desk.now += TICK
         house.desk.wheel.advance(house.desk.now)
-        left.append(house.door.connections)
+        left.append(house.listener.connections)
     assert left[0] >= 2 * END_AT_ONCE and len(left) <= 5
     assert not any(phone.open for phone in phones)
     house.close()
@@ -309,7 +309,7 @@
     for number, phone in enumerate(phones):
         phone.send(message(f"w{number}"))
     house.turn(1)
-    assert 2 * WAKE_AT_ONCE <= house.door.parked < 3 * WAKE_AT_ONCE
+    assert 2 * WAKE_AT_ONCE <= house.listener.parked < 3 * WAKE_AT_ONCE
     house.turn(20)
     for _ in range(10):
         house.work()
@@ -321,10 +321,10 @@
 
 def test_a_new_idle_time_counts_for_those_that_are_parked(house):
     [phone] = house.parked()
-    house.door.idle(replace(IDLING, keep=3000.0))
+    house.listener.idle(replace(IDLING, keep=3000.0))
     house.pass_time(3100.0)
     assert not phone.open
-    house.door.idle(replace(IDLING, keep=600_000.0))
+    house.listener.idle(replace(IDLING, keep=600_000.0))
     [phone] = house.parked()
     house.pass_time(IDLING.keep * 2)
     assert phone.open
@@ -332,10 +332,10 @@
 
 def test_parking_switched_off_keeps_who_is_parked_and_parks_nobody_more(house):
     [phone] = house.parked()
-    house.door.idle(replace(IDLING, park_after=inf))
+    house.listener.idle(replace(IDLING, park_after=inf))
     assert phone.ask("r2") == [200]
     house.pass_time(IDLING.keep / 2)
-    assert not house.door.parked and phone.open
+    assert not house.listener.parked and phone.open
 
 
 def test_in_a_full_house_the_longest_quiet_gives_way_and_who_has_just_spoken_never_does():
@@ -346,14 +346,14 @@
     first.send(b"P")  # speaks at this very moment
     third, fourth = Phone(house), Phone(house)
     assert third.ask("t") == [200] and fourth.ask("f") == [200]
-    assert house.door.connections == 4
-    assert house.door.make_room() and first.open and not second.open
+    assert house.listener.connections == 4
+    assert house.listener.make_room() and first.open and not second.open
 
 
 def test_a_clock_that_jumps_ends_only_whose_time_it_ended_and_runs_on(house):
     """The program's clock is a steady one, so it jumps forward only, as after a machine that slept."""
     phones = house.parked(3)
-    assert phones[0].ask("r") == [200] and house.door.parked == 2
+    assert phones[0].ask("r") == [200] and house.listener.parked == 2
     house.desk.now += IDLING.keep / 2
     house.desk.wheel.advance(house.desk.now)
     house.turn()
@@ -373,10 +373,10 @@
     for name in ("dup", "open", "pipe"):
         monkeypatch.setattr(os, name, none)
     monkeypatch.setattr(socket.socket, "dup", none)
-    before = len(house.door._connections)
+    before = len(house.listener._connections)
     phone.send(message("r2"))
     house.turn()
-    assert len(house.door._connections) == before + 1
+    assert len(house.listener._connections) == before + 1
     monkeypatch.undo()
     house.work()
     assert phone.statuses() == [200]
@@ -403,20 +403,20 @@
     monkeypatch.setattr(Lot, "park", full)
     house.pass_time(IDLING.park_after * 5)
     house.turn()
-    assert not house.door.parked and phone.ask("r2") == [200]
+    assert not house.listener.parked and phone.ask("r2") == [200]
 
 
 def test_at_the_end_the_quiet_are_closed_and_who_speaks_is_answered(house):
     quiet, speaks = house.parked(2)
     speaks.send(message("last"))
-    house.door.leaving = True
-    house.door.close_quiet()
-    assert not quiet.open and house.door.connections == 1
+    house.listener.leaving = True
+    house.listener.close_quiet()
+    assert not quiet.open and house.listener.connections == 1
     house.turn()
     house.work()
     assert speaks.statuses() == [200]
     house.turn()
-    house.door.close_quiet()
+    house.listener.close_quiet()
 
 
 def test_parked_connections_pass_on_to_the_next_process_with_what_has_come(house):
@@ -427,19 +427,19 @@
     def take(let_go):
         if (let := let_go()) is None:
             return False
-        heir.door.admit(socket.socket(fileno=let[0]), let[1])
+        heir.listener.admit(socket.socket(fileno=let[0]), let[1])
         return True
 
-    house.door.heir = take
-    house.door.pass_some()
-    assert not house.door.connections and heir.door.connections == 2
+    house.listener.heir = take
+    house.listener.pass_some()
+    assert not house.listener.connections and heir.listener.connections == 2
     for phone, id_ in ((quiet, "q"), (speaks, None)):
         if id_ is not None:
             phone.send(message(id_))
         heir.turn()
         heir.work()
         assert phone.statuses() == [200]
-    heir.door.close()
+    heir.listener.close()
 
 
 def test_a_head_that_passes_on_half_read_keeps_the_time_that_it_has_left(house):
@@ -449,13 +449,13 @@
     house.pass_time(900.0)
     phone.send(message("r2")[:20])
     house.turn()
-    [connection] = house.door._connections
+    [connection] = house.listener._connections
     house.desk.now += 30_000.0  # a desk that stood still
     connection._from = house.desk.now - 100.0
     fd, given = connection.let_go()
     heir = House(loop=house.loop)
     heir.desk.now = house.desk.now
-    heir.door.admit(socket.socket(fileno=fd), given)
+    heir.listener.admit(socket.socket(fileno=fd), given)
     heir.turn()
     heir.pass_time(WHOLE - 200.0)
     assert phone.open and not phone.statuses()
@@ -463,7 +463,7 @@
     heir.turn()
     heir.work()
     assert phone.statuses() == [200]
-    heir.door.close()
+    heir.listener.close()
 
 
 class Crowd(RuleBasedStateMachine):
@@ -523,7 +523,7 @@
 
     @rule(keep=st.sampled_from([LEAST_KEEP, 60_000.0, 600_000.0]), after=st.sampled_from([10.0, 1000.0, inf]))
     def reload(self, keep, after):
-        self.house.door.idle(Idling(keep, after))
+        self.house.listener.idle(Idling(keep, after))
 
     @rule()
     def answered(self):
@@ -551,10 +551,10 @@
 
     @invariant()
     def counted(self):
-        door = self.house.door
-        assert door.connections == len(door._connections) + door.parked
-        assert sum(self.house.governor._addresses.held) == door.connections
-        assert sum(self.house.governor._addresses.begun) == sum(a._counted for a in door._connections)
+        listener = self.house.listener
+        assert listener.connections == len(listener._connections) + listener.parked
+        assert sum(self.house.governor._addresses.held) == listener.connections
+        assert sum(self.house.governor._addresses.begun) == sum(a._counted for a in listener._connections)
 
     def teardown(self):
         self.answered()
@@ -562,7 +562,7 @@
             phone.sock.close()
         self.house.pass_time(10_000.0)
         self.house.turn()
-        assert not self.house.door.connections
+        assert not self.house.listener.connections
         self.house.close()
 
 
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -175,9 +175,9 @@
 def test_a_connection_that_gave_way_before_it_was_up_is_closed_when_it_comes_up():
     """Its descriptor leaked, until none was left and accepting failed on and on."""
     desk = Desk(most=1)
-    connection = ClientConnection(desk.door)
-    desk.door.join(connection)
-    assert desk.door.make_room() and connection.phase == Phase.CLOSED
+    connection = ClientConnection(desk.listener)
+    desk.listener.join(connection)
+    assert desk.listener.make_room() and connection.phase == Phase.CLOSED
 
     pipe = Pipe(connection)
     connection.connection_made(pipe)
@@ -189,12 +189,12 @@
     usual = served(desk, Client(desk))
     silent, half = Client(desk), Client(desk)
     half.send(b"POST /safe")
-    assert desk.door.make_room() and not silent.pipe.open and usual.pipe.open
+    assert desk.listener.make_room() and not silent.pipe.open and usual.pipe.open
     desk.advance(YOUNG)
     busy = desk.client(id_="r7")
-    assert desk.door.make_room() and not half.pipe.open and usual.pipe.open
+    assert desk.listener.make_room() and not half.pipe.open and usual.pipe.open
     Client(desk).post(id_="r8")
-    assert desk.door.make_room() and not usual.pipe.open and busy.pipe.open
+    assert desk.listener.make_room() and not usual.pipe.open and busy.pipe.open
 
 
 class Loop:
@@ -219,7 +219,7 @@
         pass
 
 
-class Listener:
+class Port:
     """A port with so many in its backlog, or one that fails."""
 
     def __init__(self, waiting=0, fault=None):
@@ -243,8 +243,8 @@
 
 def test_a_lack_of_descriptors_does_not_spin_the_loop():
     desk = Desk()
-    desk.door._loop, desk.door._listener = loop, listener = Loop(), Listener(fault=errno.EMFILE)
-    desk.door._accept()
+    desk.listener._loop, desk.listener._socket = loop, listener = Loop(), Port(fault=errno.EMFILE)
+    desk.listener._accept()
     assert listener.asked == 1 and not loop.reading
     desk.advance(AGAIN + TICK)
     assert loop.reading
@@ -252,15 +252,15 @@
 
 def test_a_burst_of_connections_is_taken_in_turns_and_a_full_house_waits():
     desk = Desk(most=AT_ONCE + 2)
-    desk.door._loop, desk.door._listener = loop, _ = Loop(), Listener(waiting=500)
-    desk.door._knocking = lambda: True
+    desk.listener._loop, desk.listener._socket = loop, _ = Loop(), Port(waiting=500)
+    desk.listener._knocking = lambda: True
     busy = [desk.client(id_=f"r{n}") for n in range(2)]
-    desk.door._accept()
+    desk.listener._accept()
     assert len(loop.tasks) == AT_ONCE and loop.reading
-    desk.door._most = 2
-    for connection in list(desk.door._unproven):
+    desk.listener._most = 2
+    for connection in list(desk.listener._unproven):
         connection.abort()
-    desk.door._accept()
+    desk.listener._accept()
     assert not loop.reading and all(client.pipe.open for client in busy)
     busy[0].pipe.break_off()
     assert loop.reading
@@ -285,11 +285,11 @@
         client.send(b"POST /sa")
     desk.advance(YOUNG)
     slow.send(b"fe/a HTTP/1.1\r\n")
-    assert desk.door.make_room()
+    assert desk.listener.make_room()
     assert slow.pipe.open and not stopped.pipe.open
     other = Client(desk)
     other.send(b"POST")
-    assert not desk.door.make_room(), "what has just come in is not given up for want of room"
+    assert not desk.listener.make_room(), "what has just come in is not given up for want of room"
     assert slow.pipe.open and other.pipe.open
     desk.advance(WHOLE - YOUNG - 100.0)
     slow.send(b"X-Request-Id: r1\r\n\r\n")
--- a/tests/test_traps.py
+++ b/tests/test_traps.py
@@ -201,13 +201,13 @@
 def test_descriptors_stay_bounded_on_both_sides():
     desk = Desk(workers=1, most=3, worker_connections=2)
     idle = [Client(desk) for _ in range(3)]
-    assert desk.door.make_room() and not idle[0].pipe.open  # the longest idle one gave way
+    assert desk.listener.make_room() and not idle[0].pipe.open  # the longest idle one gave way
     Client(desk)
     for client in (idle[1], idle[2]):
         client.post(id_=f"r{id(client)}")
-    assert desk.door.make_room()
+    assert desk.listener.make_room()
     desk.client(id_="r9")
-    assert not desk.door.make_room() and desk.side.connections <= 2
+    assert not desk.listener.make_room() and desk.side.connections <= 2
 
 
 def test_an_unready_dispatcher_says_so():
@@ -216,9 +216,9 @@
     assert client.ask("GET", "/ready")[0][0] == 503
     desk.tell((1, "SERVING"))
     assert client.ask("GET", "/ready")[0][0] == 503  # the port is not open
-    desk.door._listener = object()
+    desk.listener._socket = object()
     assert client.ask("GET", "/ready")[0][0] == 200
-    desk.door.draining = True
+    desk.listener.draining = True
     [(status, head, _)] = client.ask("GET", "/ready")
     assert status == 503 and head.get("connection") == "close"
 
@@ -265,8 +265,8 @@
     desk = Desk()
     idle, busy, begun = Client(desk), desk.client(), Client(desk)
     begun.send(b"POST /safe")
-    desk.door.draining = desk.door.leaving = True
-    desk.door.close_quiet()
+    desk.listener.draining = desk.listener.leaving = True
+    desk.listener.close_quiet()
     assert (idle.pipe.open, busy.pipe.open, begun.pipe.open) == (False, True, True)
     desk.dials[0].up().finish()
     [(status, head, _)] = busy.answers()
@@ -277,12 +277,12 @@
     """With the other dispatchers restarting too, clients sent away at once found none that took them."""
     desk = Desk()
     client = desk.client()
-    desk.door.draining = True
+    desk.listener.draining = True
     end = desk.dials[0].up()
     end.finish()
     [(status, head, _)] = client.answers()
     assert status == 200 and not head.get("connection")
-    desk.door.until = desk.now + 500.0
+    desk.listener.until = desk.now + 500.0
     client.post(id_="r2", wait=5000)
     end.take()
     assert not client.answers()
