Bound the wait for a start's first list, however long the grace of a drain is

It waits for 5 s at most, half of the time in which nine in ten have to be ready. The new case of tests/test_starting.py failed before (a wait of 30 s).

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -44,6 +44,7 @@
 if TYPE_CHECKING:
     from eiderfield.custody.keeper import Keeper
 
+ASKING = 5000.0  # ms for which a start waits for discovery: half of the time in which it has to be ready
 # What a reload takes up; a change of anything else is named by its key.
 RELOADED = {"discovery", "known", "seed", "idling", "admission", "site", "dial_timeout", "conn_idle"}
 FIXED = {
@@ -173,12 +174,13 @@
 
         What the agent holds counts as told from a process's first moment, and the list that the configuration
         names is as old as that. A drain binds after its grace: an agent that is silent for so long can't be
-        asked, and the known list has to do."""
+        asked, and the known list has to do. However long the grace is, a process has to be ready in time."""
         if self._config.discovery.address is None:
             return
         told = asyncio.Event()
         self.table.heard = told.set
-        self._driver.wheel.at(self._driver.clock() + self._config.site.drain_grace, told.set)
+        wait = min(self._config.site.drain_grace, ASKING)
+        self._driver.wheel.at(self._driver.clock() + wait, told.set)
         await told.wait()
 
     def _custody(self, config: Config, ids: IdMap) -> Keeper | None:
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -1,5 +1,6 @@
 """The first moments of a process: what its agent holds, and signals that come before it is up."""
 
+import asyncio
 import json
 import os
 import signal
@@ -14,6 +15,9 @@
 from test_program import ROOT, Answering, ask, free_port
 from test_reload import CONFIG, Source
 
+from eiderfield.__main__ import ASKING, Program
+from eiderfield.config import read
+
 JOB = b"POST /echo/a HTTP/1.1\r\nX-Request-Id: 1\r\nContent-Length: 3\r\n\r\nabc"
 LONG = 30_000.0  # ms: a grace that no test waits for
 
@@ -108,6 +112,17 @@
     assert not source.let.is_set()
 
 
+def test_a_long_grace_does_not_keep_a_process_from_being_ready(monkeypatch):
+    """A grace of 30 s and a silent agent made a start of 30 s, which counts as a crash."""
+    config = read(told(free_port(), "127.0.0.1:9", known=known(8080)), {})
+    waits, loop = [], asyncio.new_event_loop()
+    program = Program(config, loop, lambda: 1e6)
+    monkeypatch.setattr(program._driver.wheel, "at", lambda when, call: waits.append(when) or call())
+    loop.run_until_complete(program._first_list())
+    loop.close()
+    assert config.site.drain_grace == LONG and waits == [1e6 + ASKING]
+
+
 def test_a_process_that_is_told_to_end_before_it_is_up_ends(tmp_path):
     worker, port, path = Counting(), free_port(), tmp_path / "config.json"
     source = Held(worker.port)
