--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -277,6 +277,7 @@
             self._text.clear()
             load = self.load
         if isinstance(load, Leg):  # it ended before the last line
+            self.side.exchange.spoilt(self.worker, "it ended before its last line")
             self._broke()
             return
         self.load = None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -135,3 +135,16 @@
     for dial in list(desk.dials):
         end = dial.up()
         assert end.take() == [] and not end.pipe.written
+
+
+@pytest.mark.parametrize("tail", [b"0\r\n\r\n", b"5\r\n{\"id\"\r\n0\r\n\r\n", b"2\r\n{\n\r\n0\r\n\r\n"])
+def test_an_answer_that_ends_before_its_last_line_is_no_answer_and_is_logged(tail):
+    desk = Desk(workers=1)
+    client = desk.client(path="/unsafe/a")
+    end = desk.dials[0].up()
+    end.take()
+    end.pipe.send(HEAD + line("r1", state="started") + tail)
+    desk.settle()
+    assert client.answers()[0][0] == 502 and not end.pipe.open
+    assert desk.exchange.spoilt_answers == 1
+    assert "an answer cannot be used: " in desk.logged[-1]
