--- a/eiderfield/decide.py
+++ b/eiderfield/decide.py
@@ -417,7 +417,7 @@
         if attempt is None or not attempt.open:
             return  # an attempt from before this node's present life
         self._close(attempt, now)
-        worker, outcome = attempt.worker, event.outcome
+        worker, outcome, waited = attempt.worker, event.outcome, now - attempt.sent
         self._report(worker, event.load, now)
         attempt.may_have_run = outcome not in NEVER_RAN
         if outcome in (Outcome.OK, Outcome.ERROR):
@@ -444,8 +444,8 @@
             worker.alive(now)
             if worker.faults > FAULTY:  # who fails its jobs at once holds fewest and would draw all others in
                 worker.strike(now, erring=self._trials != Effect.UNSAFE)
-        elif outcome == Outcome.CANCELLED and attempt.started is None and attempt.given_up:  # not a departure
-            self._queued += QUEUED * (now - attempt.sent - self._queued)
+        elif outcome == Outcome.CANCELLED and attempt.started is None and waited >= self._soon(attempt.job):
+            self._queued += QUEUED * (waited - self._queued)
             worker.full_until = now + 2.0 * LOOK_AGAIN  # where one has waited too long the next would too
         if job is None:
             del self._late_attempts[event.id, event.attempt]
