Name authorisations what they are: requests

Authorisation is Request, AuthorisationFront RequestFront, and the word follows in code, tests and pages.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -30,7 +30,7 @@
 from eiderfield.idmap import IdMap
 from eiderfield.net.backoff import Backoff
 from eiderfield.net.bans import Bans
-from eiderfield.net.clients import AuthorisationFront, Front, Listener
+from eiderfield.net.clients import Front, Listener, RequestFront
 from eiderfield.net.console import WAIT, ConsoleFront
 from eiderfield.net.ending import Ending
 from eiderfield.net.handover import Handover
@@ -95,7 +95,7 @@
         self._following = Following()
         most = config.client_connections if config.batch is None else config.client_connections // 2
         self._keeper = self._custody(config, ids)
-        front = AuthorisationFront(self.exchange, ids, clock, self._keeper)
+        front = RequestFront(self.exchange, ids, clock, self._keeper)
         self._listeners = [(self._listener(front, most), config.listen)]
         console = ConsoleFront(self.exchange, self.table, clock, self._ready, self._crowd, self._running)
         self._console = Listener(console, wheel, clock, CONSOLE, WAIT)
--- a/eiderfield/batch/jobs.py
+++ b/eiderfield/batch/jobs.py
@@ -1,6 +1,6 @@
 """The book of batch jobs: what was submitted, where it stands, and how it ended. It knows no wire.
 
-Every job goes through the exchange like any authorisation. The book only remembers: it sends nothing again,
+Every job goes through the exchange like any request. The book only remembers: it sends nothing again,
 and what the module declined stays declined. Where custody keeps a class (`eiderfield/custody`), its jobs are
 known at every dispatcher and outlive this one: the book then remembers only who asked here.
 """
@@ -19,13 +19,13 @@
     JobState,
     TryLaterError,
 )
-from eiderfield.exchange import Answer, Authorisation, Exchange, Standing, Verdict
+from eiderfield.exchange import Answer, Exchange, Request, Standing, Verdict
 from eiderfield.idmap import IdMap
 from eiderfield.interface import Effect
 
 MAX_BULK = 1000  # jobs of one bulk submission
 MAX_ID = 200  # characters of a name that a client chooses
-MAX_JOB = 65536  # bytes of a job's body, as for any authorisation
+MAX_JOB = 65536  # bytes of a job's body, as for any request
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,7 +65,7 @@
         """Whether jobs of a class are kept."""
 
     def take(
-        self, authorisation: Authorisation, told: Callable[[Answer], None], front: str,
+        self, request: Request, told: Callable[[Answer], None], front: str,
         taken: Callable[[], None],
     ) -> Callable[[], None]:  # fmt: skip
         """Takes a job; `taken` is called once it is written down, `told` with its answer."""
@@ -228,13 +228,13 @@
             self._last += 1
         body = template.body.encode()
         self._bytes += len(body)
-        # The body goes with the authorisation and is let go with it.
+        # The body goes with the request and is let go with it.
         template = replace(template, body="")
         record = Record(f"{self._prefix}.{self._last}", template, self._clock(), len(body))
         number = self._classes[template.job_class]
         cls = self._exchange.site.classes[number]
         key = template.idempotency_key or (record.job_id if cls.effect == Effect.KEYED else "")
-        authorisation = Authorisation(
+        request = Request(
             id=record.job_id,
             cls=number,
             due=record.submitted + (template.deadline or cls.deadline),
@@ -246,12 +246,12 @@
         self._records[record.job_id] = record
         if self._keeping is not None and self._keeps(template):
             self._keeping.take(
-                authorisation, lambda answer: self._finish(record, answer), "batch",
+                request, lambda answer: self._finish(record, answer), "batch",
                 lambda: self._kept(record),
             )  # fmt: skip
         else:
             record.taken = True
-            record.number = self._exchange.submit(authorisation, lambda answer: self._finish(record, answer))
+            record.number = self._exchange.submit(request, lambda answer: self._finish(record, answer))
         return record
 
     def _keeps(self, template: JobTemplate) -> bool:
--- a/eiderfield/crowd/settings.py
+++ b/eiderfield/crowd/settings.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, field
 from math import inf
 
-KEEP = 300_000.0  # that a connection may idle which has brought an authorisation
+KEEP = 300_000.0  # that a connection may idle which has brought a request
 PARK_AFTER = 5000.0  # of silence after which it is parked
 WHOLE = 2800.0  # that a client's message may take to come in: what never comes is owed an end within 3 s
 
 
 @dataclass(slots=True, frozen=True)
 class Idling:
-    """For connections that have brought an authorisation: how long they may idle, when they park."""
+    """For connections that have brought a request: how long they may idle, when they park."""
 
     keep: float = KEEP
     park_after: float = inf  # never
--- a/eiderfield/custody/keeper.py
+++ b/eiderfield/custody/keeper.py
@@ -1,6 +1,6 @@
 """Custody in the loop: joins fronts, exchange and writer, and knows no wire.
 
-Theory of operation. An asker brings an authorisation of a kept class. It is written down before the exchange
+Theory of operation. An asker brings a request of a kept class. It is written down before the exchange
 hears of it (`accept`); each leg is written down before its first byte leaves (`claim`); the answer is written
 down before anybody is told it (`finish`). An asker for a job that is somewhere already waits for its answer,
 wherever it comes to be. A job goes on when its askers have gone: it was taken.
@@ -38,10 +38,10 @@
     Wish,
     steady,
 )
-from eiderfield.custody.record import LegNote, Record, authorisation_of, record_of
+from eiderfield.custody.record import LegNote, Record, record_of, request_of
 from eiderfield.custody.settings import Custody
 from eiderfield.custody.writer import Call, Writer
-from eiderfield.exchange import Answer, Authorisation, Exchange, Job, Leg, Timer, Timers, Verdict
+from eiderfield.exchange import Answer, Exchange, Job, Leg, Request, Timer, Timers, Verdict
 from eiderfield.idmap import IdMap
 from eiderfield.interface import Effect, Entry
 
@@ -57,7 +57,7 @@
 class Asker:
     """Somebody who waits for a job's answer."""
 
-    authorisation: Authorisation
+    request: Request
     told: Told
     front: str = "platform"
     taken: Callable[[], None] = lambda: None  # called once the job is written down
@@ -130,7 +130,7 @@
         not be repeated, for its answer may still come."""
         legs = [leg for leg in self._claims if leg.open]
         classes = self._exchange.site.classes
-        if self._held and any(classes[leg.job.authorisation.cls].effect == Effect.UNSAFE for leg in legs):
+        if self._held and any(classes[leg.job.request.cls].effect == Effect.UNSAFE for leg in legs):
             self._timers.at(self._clock() + REST, self.leave)
         elif self._held:
             self._writer.leave(self._has_left)
@@ -156,20 +156,20 @@
     # Fronts.
 
     def take(
-        self, authorisation: Authorisation, told: Told, front: str = "platform",
+        self, request: Request, told: Told, front: str = "platform",
         taken: Callable[[], None] = lambda: None,
     ) -> Callable[[], None]:  # fmt: skip
         """Takes a job, or joins its asker to it. `told` is called once with the answer, `taken` as soon as
         the job is written down, here or elsewhere. Returns what to call when the asker has gone."""
-        asker = Asker(authorisation, told, front, taken)
-        held = self._held.get(authorisation.id)
-        if held is None and self.full and not self._is_known(authorisation.id):
+        asker = Asker(request, told, front, taken)
+        held = self._held.get(request.id)
+        if held is None and self.full and not self._is_known(request.id):
             self.member.counts.refused += 1
             asker.tell(Answer(Verdict.DECLINED, retry_after=REST))
             return lambda: None
-        asker.timer = self._timers.at(authorisation.due - EARLY / 4.0, partial(self._late, asker))
+        asker.timer = self._timers.at(request.due - EARLY / 4.0, partial(self._late, asker))
         if held is None and self.full:
-            self._wait(authorisation.id, asker)
+            self._wait(request.id, asker)
         else:
             self._ask(asker)
         return partial(self._gone, asker)
@@ -197,8 +197,8 @@
     def wait(self, id_: str, until: float, told: Told) -> Callable[[], None]:
         """Waits for a job's answer, wherever it is; `told` hears a failure at `until`. Returns what to call
         when nobody waits any more."""
-        authorisation = Authorisation(id_, -1, until, "")
-        asker = Asker(authorisation, told)
+        request = Request(id_, -1, until, "")
+        asker = Asker(request, told)
         asker.timer = self._timers.at(until, partial(self._late, asker))
         self._wait(id_, asker)
         return partial(self._gone, asker)
@@ -222,7 +222,7 @@
         return at - steady() + self._clock()
 
     def _ask(self, asker: Asker) -> None:
-        a = asker.authorisation
+        a = asker.request
         record = record_of(a, self._names[a.cls], self._clock(), steady(), asker.front)
         held = self._held.get(a.id)
         if held is None:
@@ -230,7 +230,7 @@
         self._writer.write(Accept(record), partial(self._accepted, asker, held))
 
     def _accepted(self, asker: Asker, held: Held, outcome: Outcome) -> None:
-        a = asker.authorisation
+        a = asker.request
         mine = self._held.get(a.id) is held
         if isinstance(outcome, Taken) and mine:
             held.askers.append(asker)
@@ -264,8 +264,8 @@
         self.member.counts.joined += 1
         asker.taken()
 
-    def _submit(self, a: Authorisation, held: Held, before: tuple[tuple[Entry, float], ...] = ()) -> None:
-        early = Authorisation(
+    def _submit(self, a: Request, held: Held, before: tuple[tuple[Entry, float], ...] = ()) -> None:
+        early = Request(
             a.id, a.cls, a.due - EARLY, a.target, a.host, a.body, a.idempotency_key, a.subject, a.repeat,
             a.tenant, a.slots, a.memory,
         )  # fmt: skip
@@ -275,7 +275,7 @@
             self._timers.at(self._clock() + AGAIN, partial(self._submit_again, a, held, before))
 
     def _submit_again(
-        self, a: Authorisation, held: Held, before: tuple[tuple[Entry, float], ...]
+        self, a: Request, held: Held, before: tuple[tuple[Entry, float], ...]
     ) -> None:
         if self._held.get(a.id) is not held:
             return
@@ -298,7 +298,7 @@
                 continue
             if record is not None:
                 asker.tell(record.answer)
-            elif asker.authorisation.cls >= 0 and self._clock() < asker.authorisation.due - EARLY:
+            elif asker.request.cls >= 0 and self._clock() < asker.request.due - EARLY:
                 self._ask(asker)
             else:
                 asker.tell(Answer(Verdict.FAILED))
@@ -321,7 +321,7 @@
         note = LegNote(
             leg.number, self._ids.name(leg.worker), self._ids.zone_name(entry.zone), entry.cell, steady()
         )
-        self._writer.write(Claim(leg.job.authorisation.id, note), partial(self._claimed, leg, go))
+        self._writer.write(Claim(leg.job.request.id, note), partial(self._claimed, leg, go))
 
     def _claimed(self, leg: Leg, go: Callable[[bool], None], outcome: Outcome) -> None:
         if isinstance(outcome, Claimed) and leg.open:
@@ -337,11 +337,11 @@
         """A leg is over; one that never ran is taken off the record."""
         self._claims.pop(leg, None)
         if not leg.may_have_run:
-            self._writer.write(Unclaim(leg.job.authorisation.id, leg.number), lambda outcome: None)
+            self._writer.write(Unclaim(leg.job.request.id, leg.number), lambda outcome: None)
 
     def finish(self, job: Job, answer: Answer) -> None:
         """Writes an answer down; its askers are told after that."""
-        id_ = job.authorisation.id
+        id_ = job.request.id
         held = self._held.get(id_)
         if held is None or held.number != job.id:
             return
@@ -389,7 +389,7 @@
                 self._finish(record.id, held, answer, why)
                 continue
             before = tuple(self._before(leg, now - at) for leg in record.legs)
-            self._submit(authorisation_of(record, cls, now, at), held, before)
+            self._submit(request_of(record, cls, now, at), held, before)
 
     def _before(self, leg: LegNote, ahead: float) -> tuple[Entry, float]:
         worker = self._ids.worker(leg.worker)
--- a/eiderfield/custody/record.py
+++ b/eiderfield/custody/record.py
@@ -1,4 +1,4 @@
-"""What is written down of a job, and how it becomes an authorisation again. No I/O, no clock.
+"""What is written down of a job, and how it becomes a request again. No I/O, no clock.
 
 Theory of operation. A record has one owner at a time, the life in whose store it stands last, and goes only
 forward:
@@ -22,7 +22,7 @@
 from typing import Any
 from zlib import crc32
 
-from eiderfield.exchange import Answer, Authorisation, Verdict
+from eiderfield.exchange import Answer, Request, Verdict
 
 
 class Stage(IntEnum):
@@ -56,7 +56,7 @@
     cls: str
     due: float
     accepted: float
-    head: Mapping[str, Any]  # of its authorisation, but for the body
+    head: Mapping[str, Any]  # of its request, but for the body
     body: bytes
     stage: Stage = Stage.ACCEPTED
     legs: tuple[LegNote, ...] = ()
@@ -122,9 +122,9 @@
 
 
 def record_of(
-    a: Authorisation, cls: str, now: float, accepted: float, front: str = "platform"
+    a: Request, cls: str, now: float, accepted: float, front: str = "platform"
 ) -> Record:
-    """The record of an authorisation. `now` is the time of the clock that its `due` is told in, `accepted`
+    """The record of a request. `now` is the time of the clock that its `due` is told in, `accepted`
     the same moment on the steady one."""
     head = {
         "target": a.target, "host": a.host, "key": a.idempotency_key, "subject": a.subject,
@@ -133,10 +133,10 @@
     return Record(a.id, cls, a.due - now + accepted, accepted, head, a.body, front=front)
 
 
-def authorisation_of(record: Record, cls: int, now: float, steady: float) -> Authorisation:
+def request_of(record: Record, cls: int, now: float, steady: float) -> Request:
     """What a record asks for, with `due` on the clock that says `now` where the steady one says `steady`."""
     head = record.head
-    return Authorisation(
+    return Request(
         record.id, cls, record.due - steady + now, str(head["target"]), str(head["host"]), record.body,
         str(head["key"]), int(head["subject"]), True, int(head["tenant"]), float(head["slots"]),
         float(head["memory"]),
--- a/eiderfield/exchange.py
+++ b/eiderfield/exchange.py
@@ -1,6 +1,6 @@
 """The core round the decision module: it owns jobs and legs and knows no socket, no wire and no clock.
 
-Fronts hand authorisations in with `submit` and get one final answer each. The worker side reports how legs
+Fronts hand requests in with `submit` and get one final answer each. The worker side reports how legs
 fare. Whatever came in during a turn of the loop reaches the module in one call, `turn`.
 """
 
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Authorisation:
+class Request:
     """One request as a front took it. `due` is when nobody waits for its answer any more."""
 
     id: str
@@ -181,10 +181,10 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """An authorisation that has been taken, until its final answer."""
+    """A request that has been taken, until its final answer."""
 
     id: int
-    authorisation: Authorisation
+    request: Request
     answer: Callable[[Answer], None]
     legs: list[Leg] = field(default_factory=list)
     answered: bool = False
@@ -290,25 +290,25 @@
         return id_ in self._ids or id_ in self._ids_beside
 
     def submit(
-        self, authorisation: Authorisation, answer: Callable[[Answer], None], kept: bool = False,
+        self, request: Request, answer: Callable[[Answer], None], kept: bool = False,
         before: Iterable[tuple[Entry, float]] = (),
     ) -> int:  # fmt: skip
         """Takes a job. `answer` is called once, never before this returns.
 
         `before` are legs that a dispatcher which is lost had begun: the worker as it was then, and when."""
-        if self.holds(authorisation.id):
-            raise ValueError(f"job {authorisation.id} is there already")
-        self._ids.add(authorisation.id)
+        if self.holds(request.id):
+            raise ValueError(f"job {request.id} is there already")
+        self._ids.add(request.id)
         if self.witness is not None:
-            self.witness.came(authorisation.id)
+            self.witness.came(request.id)
         self._last_id += 1
-        job = Job(self._last_id, authorisation, answer, kept=kept)
+        job = Job(self._last_id, request, answer, kept=kept)
         before = tuple(before)
         for number, (entry, sent) in enumerate(before):
             job.legs.append(Leg(job, number, entry.worker, sent, open=False, may_have_run=True))
         self._jobs[job.id] = job
         self._new.append(job)
-        a = authorisation
+        a = request
         # The module answers just before the time ends; this guards against one that does not.
         job.timer = self._timers.at(a.due + self.site.answer_slack, lambda: self._overdue(job))
         flags = REPEAT if a.repeat else 0
@@ -498,13 +498,13 @@
             job.came = now
         self._new.clear()
         for job in self._served:
-            cls = self.site.classes[job.authorisation.cls]
+            cls = self.site.classes[job.request.cls]
             ran = now - job.began if job.began else 0.0
             took = log(max(1.0, now - job.came))
-            moments = self.waits.setdefault(job.authorisation.cls, [0, 0.0, 0.0])
+            moments = self.waits.setdefault(job.request.cls, [0, 0.0, 0.0])
             moments[:] = moments[0] + 1, moments[1] + took, moments[2] + took * took
             if now - job.came <= cls.aim + cls.stretch * ran:
-                self.in_time[job.authorisation.cls] += 1
+                self.in_time[job.request.cls] += 1
         self._served.clear()
 
     def _post(self, event: Event) -> None:
@@ -525,7 +525,7 @@
             self.broken["attempts"] += 1
             self.ended(leg, Outcome.MOOT)
             return
-        due = job.authorisation.due
+        due = job.request.due
         end = min(due, now + action.timeout) if action.timeout > 0.0 else due
         self._out[job.id, leg.number] = leg
         self._count_out(leg.worker, 1, action.work)
@@ -599,7 +599,7 @@
         if job.timer is not None:
             job.timer.cancel()
         if answer is not None:
-            self.answers[job.authorisation.cls, answer.verdict] += 1
+            self.answers[job.request.cls, answer.verdict] += 1
             if answer.verdict is Verdict.SERVED:
                 self._served.append(job)
             if job.kept and self.custodian is not None:
@@ -609,9 +609,9 @@
 
     def _let_go(self, job: Job) -> None:
         if job.answered and not any(leg.open for leg in job.legs):
-            self._ids.discard(job.authorisation.id)
+            self._ids.discard(job.request.id)
             if self.witness is not None:
-                self.witness.went(job.authorisation.id)
+                self.witness.went(job.request.id)
 
     def _overdue(self, job: Job) -> None:
         if not job.answered:
--- a/eiderfield/lab/fleet/worse.py
+++ b/eiderfield/lab/fleet/worse.py
@@ -83,12 +83,12 @@
 
     def slower(exchange: Any, action: Any, now: float) -> None:
         job = exchange._jobs.get(action.id)
-        wait = 0.3 * exchange.site.classes[job.authorisation.cls].aim if job is not None else 0.0
+        wait = 0.3 * exchange.site.classes[job.request.cls].aim if job is not None else 0.0
         exchange._timers.at(now + wait, lambda: send(exchange, action, now + wait))
 
     def one_class(exchange: Any, action: Any, now: float) -> None:
         job = exchange._jobs.get(action.id)
-        bad = job is not None and job.authorisation.cls == len(exchange.site.classes) - 1
+        bad = job is not None and job.request.cls == len(exchange.site.classes) - 1
         give_up(exchange, action, now, False) if bad and next(number) % 2 else send(exchange, action, now)
 
     def drains(exchange: Any, action: Any, now: float) -> None:
--- a/eiderfield/net/clients.py
+++ b/eiderfield/net/clients.py
@@ -1,7 +1,7 @@
-"""The client side: the connections of clients, from which authorisations come and to which answers go.
+"""The client side: the connections of clients, from which requests come and to which answers go.
 
 `ClientConnection` is one connection of any front; `Front` says what becomes of a whole message. The
-platform's front is `AuthorisationFront`.
+platform's front is `RequestFront`.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 from eiderfield.crowd.governor import ORDER, Governor, Kind, Limit, Refusal
 from eiderfield.crowd.lot import Lot, Woken, unread, unsent
 from eiderfield.crowd.settings import WHOLE, Admission, Idling
-from eiderfield.exchange import Answer, Authorisation, Exchange, Timer, Timers, Verdict
+from eiderfield.exchange import Answer, Exchange, Request, Timer, Timers, Verdict
 from eiderfield.idmap import IdMap, plain
 from eiderfield.interface import Effect
 from eiderfield.net.departures import Departures
@@ -63,7 +63,7 @@
     def keeps(self, cls: int) -> bool:
         """Whether jobs of a class are kept."""
 
-    def take(self, authorisation: Authorisation, told: Callable[[Answer], None]) -> Callable[[], None]:
+    def take(self, request: Request, told: Callable[[Answer], None]) -> Callable[[], None]:
         """Takes a job or joins its asker to it; what to call when the asker has gone."""
 
 
@@ -99,7 +99,7 @@
         self.ticket = ticket  # the governor's, where there is one
         self.refusal = refusal  # why it may not come in
         self.phase = Phase.READING
-        self.proven = given is not None and given.proven  # whether it has brought an authorisation
+        self.proven = given is not None and given.proven  # whether it has brought a request
         # When it connected, or when its last message was answered.
         self.since = listener.clock() if given is None else min(given.since, listener.clock())
         self._heard = self._from = self.since  # `_from` is when what is limited now began
@@ -464,8 +464,8 @@
         self.beside = 0
         self._most = most
         self._connections: set[ClientConnection] = set()
-        # Those that may give way, the longest so first: those that owe us a first authorisation or have had
-        # their last answer, and those that idle between authorisations.
+        # Those that may give way, the longest so first: those that owe us a first request or have had
+        # their last answer, and those that idle between requests.
         self._unproven: OrderedDict[ClientConnection, None] = OrderedDict()
         self._idle: OrderedDict[ClientConnection, None] = OrderedDict()
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -912,7 +912,7 @@
             sock.close()
 
 
-class AuthorisationFront:
+class RequestFront:
     """The platform's protocol: a job is a POST that waits for its answer."""
 
     def __init__(
@@ -928,7 +928,7 @@
     def message(
         self, listener: Listener, connection: ClientConnection, head: Head, body: bytes
     ) -> Callable[[], None] | None:
-        """Takes an authorisation, or says whether this dispatcher is ready."""
+        """Takes a request, or says whether this dispatcher is ready."""
         path = head.target.partition("?")[0]
         if path == "/ready":
             ready = self._exchange.knows_workers and listener.listening and not listener.draining
@@ -946,24 +946,24 @@
             connection.reject(405, "jobs arrive by POST", Allow="POST")
             return None
         try:
-            authorisation = self._read(number, parts[2:], head, body, listener.until)
+            request = self._read(number, parts[2:], head, body, listener.until)
         except Malformed as error:
             connection.reject(error.status, str(error))
             return None
         if self._keeping is not None and self._keeping.keeps(number):  # who asks again is joined to the job
             connection.proven = True
-            return self._keeping.take(authorisation, lambda answer: tell(connection, answer, True))
-        if self._exchange.holds(authorisation.id):  # a second copy would reach the workers
+            return self._keeping.take(request, lambda answer: tell(connection, answer, True))
+        if self._exchange.holds(request.id):  # a second copy would reach the workers
             connection.reject(409, "X-Request-Id is that of a job which is not over yet")
             return None
         connection.proven = True
-        id_ = self._exchange.submit(authorisation, lambda answer: tell(connection, answer))
+        id_ = self._exchange.submit(request, lambda answer: tell(connection, answer))
         return lambda: self._gone(id_)
 
     def _gone(self, id_: int) -> None:
         self._exchange.withdraw(id_)
 
-    def _read(self, number: int, parts: list[str], head: Head, body: bytes, until: float) -> Authorisation:
+    def _read(self, number: int, parts: list[str], head: Head, body: bytes, until: float) -> Request:
         cls = self._exchange.site.classes[number]
         for name in ("X-Request-Id", "Idempotency-Key"):
             word = head.get(name.lower())
@@ -978,7 +978,7 @@
                 raise Malformed("X-Deadline-Ms is not a whole number")
             wait = min(float(text), cls.deadline)
         extras = read_extras(head.get("x-extras"))
-        return Authorisation(
+        return Request(
             id=head.get("x-request-id"),
             cls=number,
             due=min(self._clock() + wait, until),
--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -231,8 +231,8 @@
             return
         told = json.loads(line)
         # Another request's line must never be served as this one's answer.
-        if not isinstance(told, dict) or told.get("id") != leg.job.authorisation.id:
-            raise Malformed("a line is not about this authorisation")
+        if not isinstance(told, dict) or told.get("id") != leg.job.request.id:
+            raise Malformed("a line is not about this request")
         state = told.get("state")
         if state == "started":
             self.side.exchange.noted(leg, STARTED)
@@ -393,7 +393,7 @@
         """The request that a leg or a probe is."""
         if isinstance(load, Probing):
             return request_bytes("GET", "/status/load" if load.load else "/health", "backend.local")
-        a = load.job.authorisation
+        a = load.job.request
         headers = {"X-Request-Id": a.id, "X-Deadline-Ms": str(max(1, int(a.due - self._clock())))}
         if a.idempotency_key:
             headers["Idempotency-Key"] = a.idempotency_key
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -12,7 +12,7 @@
 from eiderfield.exchange import Exchange
 from eiderfield.idmap import IdMap
 from eiderfield.net.bans import Bans
-from eiderfield.net.clients import AuthorisationFront, ClientConnection, Listener
+from eiderfield.net.clients import ClientConnection, Listener, RequestFront
 from eiderfield.net.http import END, Head, Parser
 from eiderfield.net.routing import RoutingTable
 from eiderfield.net.wheel import Wheel
@@ -219,7 +219,7 @@
         bans = Bans(bans, self.logged.append)
         bans.read()
         self.table = RoutingTable(self.exchange, self.side, self.ids, bans, self.clock)
-        front = AuthorisationFront(self.exchange, self.ids, self.clock)
+        front = RequestFront(self.exchange, self.ids, self.clock)
         self.listener = Listener(front, self.wheel, self.clock, most)
         self.index = 0
         self.tell(*[(w, "SERVING") for w in range(1, workers + 1)], snapshot=True)
@@ -261,7 +261,7 @@
         self.settle()
 
     def client(self, **message):
-        """A client that has sent an authorisation."""
+        """A client that has sent a request."""
         client = Client(self)
         client.post(**message)
         return client
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -139,7 +139,7 @@
             self.ran.update(end.came[self.seen[end] :])
             self.seen[end] = len(end.came)
             out.update(held if end.pipe.open else [])
-        assert all(n == 1 for n in out.values()), "two legs of one authorisation at once"
+        assert all(n == 1 for n in out.values()), "two legs of one request at once"
         for entry in list(self.clients):
             client, id_, path = entry
             answers = client.answers()
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -28,11 +28,11 @@
     Taken,
     Unclaim,
 )
-from eiderfield.custody.record import LegNote, Stage, authorisation_of, record_of
+from eiderfield.custody.record import LegNote, Stage, record_of, request_of
 from eiderfield.custody.settings import Custody
 from eiderfield.custody.settings import read as read_settings
 from eiderfield.custody.store import MAGIC, SCHEMA, Store, StoreError
-from eiderfield.exchange import Answer, Authorisation, Verdict
+from eiderfield.exchange import Answer, Request, Verdict
 from eiderfield.interface import Effect, JobClass, Settings
 
 SERVED = Answer(Verdict.SERVED, b"r", may_have_run=True, legs=1)
@@ -41,7 +41,7 @@
 
 
 def record(id_="j", key="", body=b"b", due=1e9, at=0.0, **more):
-    a = Authorisation(id_, 0, due, "/report/x", body=body, idempotency_key=key)
+    a = Request(id_, 0, due, "/report/x", body=body, idempotency_key=key)
     return replace(record_of(a, "report", at, at), **more)
 
 
@@ -149,9 +149,9 @@
 
 
 def test_a_record_becomes_the_same_authorisation_with_its_first_deadline():
-    a = Authorisation("j", 0, 5000.0, "/r/x", "h", b"\x00body", "k", 7, False, 2, 3.0, 4.0)
+    a = Request("j", 0, 5000.0, "/r/x", "h", b"\x00body", "k", 7, False, 2, 3.0, 4.0)
     kept = record_of(a, "r", now=1000.0, accepted=50.0)
-    again = authorisation_of(kept, 0, now=91_000.0, steady=1050.0)
+    again = request_of(kept, 0, now=91_000.0, steady=1050.0)
     assert again == replace(a, due=91_000.0 + 3000.0, repeat=True)
 
 
