Open the modules of both sides and of the watch with their states

What moves a client connection, a worker connection and a follower from state to state, and what must never happen.

--- a/eiderfield/net/clients.py
+++ b/eiderfield/net/clients.py
@@ -2,6 +2,22 @@
 
 `ClientConnection` is one connection of any front; `Front` says what becomes of a whole message. The
 platform's front is `RequestFront`.
+
+Theory of operation. A connection takes one message at a time.
+
+    READING ──(a whole message)──> WAITING ──(its answer, kept open)──> READING
+       │                              ├──(the last answer, or an error)──> LINGERING
+       │                              └──(the client goes: its job is withdrawn)──> CLOSED
+       ├──(it has to end, and was answered before)──> LINGERING ──(1 s, or the client closes)──> CLOSED
+       └──(it has to end, and never was)──> CLOSED
+
+Messages move it from READING, fronts from WAITING, the client's going from anywhere. LINGERING has ended its
+sending and throws away what it reads, within bounds. There is one way to close whoever was ever answered
+(`close`, by LINGERING), one at once (`abort`).
+
+What must never happen: an answer twice or to another message; a message that is read after the end of sending
+handed on; a connection that is not read while something is owed on it and whose client's going nobody would
+notice (`net/departures.py`); a close over unread bytes behind an answer that is still on its way.
 """
 
 from __future__ import annotations
--- a/eiderfield/net/routing.py
+++ b/eiderfield/net/routing.py
@@ -1,4 +1,18 @@
-"""The routing table and its watch: discovery's list, followed for as long as the program runs."""
+"""The routing table and its watch: discovery's list, followed for as long as the program runs.
+
+Theory of operation. A follower has one feed at a time, and one timer that decides what comes next.
+
+    dialling ──(up)──> asked ──(a whole list, or an empty line)──> heard ──┐
+       │                 │                                           ^──────┘
+       │                 └──(no whole line for SILENCE)──> dialling again, at once
+       ├──(DIAL passes)──> dialling again, at once
+       └──(refused; from any state: broken off, ended, unreadable)──> waiting ──(`Backoff`)──> dialling
+
+After a new configuration two followers run until the new one has told a list (`Following`).
+
+What must never happen: a table changed by a list that is not whole or not understood; a source that is silent
+with no call waiting at it; a wait longer than `Backoff` bounds; a time in which nobody is followed.
+"""
 
 from __future__ import annotations
 
--- a/eiderfield/net/worker.py
+++ b/eiderfield/net/worker.py
@@ -1,4 +1,18 @@
-"""The worker side: pools of connections to workers, the legs they carry, and probes."""
+"""The worker side: pools of connections to workers, the legs they carry, and probes.
+
+Theory of operation. A connection carries one leg or probe at a time.
+
+    DIALLING ──(up, and the leg may still begin)──> BUSY ──(its outcome is known)──> TAIL
+       │                                              └──(it breaks, or cannot be read)──> CLOSED
+       └──(refused, too late, or its worker is elsewhere by now)──> CLOSED
+    TAIL ──(the answer's end)──> IDLE ──(the next leg)──> BUSY
+
+The side moves it to BUSY and CLOSED, the worker's bytes to TAIL and IDLE. Whatever is given up is closed.
+
+What must never happen: a first byte for a leg that may not begin any more (`Exchange.may_write` is asked
+then); an answer that is not about the request served as its own; a leg told to have never run of which the
+last byte had left; one dialled at a place that the list has left.
+"""
 
 from __future__ import annotations
 
