Blame no worker for a want of descriptors, and reset nobody behind a full house's port

A dial that failed for EMFILE ended as if the worker had refused, which rests a worker that is well, all of them in turn while the want lasts. A process told to end closed its port after 0.7 s though the house was full and clients were connected behind it: all of those were reset.

At fault: Driver._dial, Program._close_listeners. Change: a dial for which this machine was short of something is tried again every 20 ms within its time limit; the port stays open until there is room, or until clients are sent away at 1.5 s, when room comes.

--- a/eiderfield/__main__.py
+++ b/eiderfield/__main__.py
@@ -328,9 +328,15 @@
                 self._end_when_idle()
 
     def _close_listeners(self, until: float) -> None:
+        """Closes the ports, but not while somebody waits behind one whom a full house cannot take yet: it
+        would reset them. Once clients are sent away there is room."""
         for listener, _ in self._listeners:
-            listener.stop_listening()
             listener.until = until
+        if not self._ending and any(listener.waited_for for listener, _ in self._listeners):
+            self._driver.wheel.at(self._driver.clock() + LOOK, partial(self._close_listeners, until))
+            return
+        for listener, _ in self._listeners:
+            listener.stop_listening()
         if not self.exchange.unanswered and not any(listener.connections for listener, _ in self._listeners):
             self._leave()
 
--- a/eiderfield/net/clients.py
+++ b/eiderfield/net/clients.py
@@ -826,6 +826,11 @@
         self._tell(held)
         return held >= self.governor.house
 
+    @property
+    def waited_for(self) -> bool:
+        """Whether somebody is connected whom the house has no room to take yet."""
+        return self.full and self._knocking()
+
     def _knocking(self) -> bool:
         """Whether somebody waits to be taken."""
         if self._socket is None:
--- a/eiderfield/net/loop.py
+++ b/eiderfield/net/loop.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import time
 from collections.abc import Callable
 from math import inf
@@ -17,6 +18,8 @@
 from eiderfield.net.wheel import Wheel
 
 GAP = 250.0  # ms by which a turn or a timer is late, from which on what has come is read first
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # a want here, no fault of the other side
+AGAIN = 20.0  # ms until a dial for which something was short is tried again
 READS = 8  # rounds of the loop for that: whole answers of the largest size, and what they set off
 
 
@@ -99,10 +102,15 @@
     async def _dial(
         self, protocol: asyncio.BufferedProtocol, address: tuple[str, int], failed: Callable[[], None]
     ) -> None:
-        try:
-            await self._loop.create_connection(lambda: protocol, *address)
-        except (OSError, ValueError):
-            failed()
+        while True:
+            try:
+                await self._loop.create_connection(lambda: protocol, *address)
+                return
+            except (OSError, ValueError) as error:
+                if getattr(error, "errno", None) not in SHORT:
+                    failed()
+                    return
+            await asyncio.sleep(AGAIN / 1000.0)  # the caller's time limit calls this off
 
     def _failed(self, error: Exception) -> None:
         self._loop.call_exception_handler({"message": "a timer failed", "exception": error})
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,8 +1,14 @@
 """Closing: bytes that cross it take no answer along, and nothing that is read after it is sent on."""
 
+import asyncio
+
 import pytest
 from test_parking import IDLING, House, Phone, message
+from test_program import free_port
+from test_starting import known, told
 
+from eiderfield.__main__ import Program
+from eiderfield.config import read
 from eiderfield.crowd.settings import Idling
 from eiderfield.net.clients import LINGER, YOUNG, Phase
 from eiderfield.net.ending import ACCEPTING, LONGEST, MARGIN, TO_KILL, Ending
@@ -114,3 +120,46 @@
     assert end.accepting <= ACCEPTING
     if longest >= LONGEST:
         assert (end.accepting, end.staying, end.last) == (700.0, 1500.0, 3200.0)
+
+
+class Port:
+    """A listener of which somebody waits for room."""
+
+    def __init__(self):
+        self.waited_for, self.closed, self.connections, self.until = True, False, 1, None
+
+    def stop_listening(self):
+        self.closed = True
+
+
+@pytest.mark.parametrize("ending", [False, True])
+def test_a_port_stays_open_while_somebody_waits_behind_a_full_house(ending):
+    """Closed, it resets who is connected and was not taken for want of room. Once clients were sent away, and
+    the program is about to end, it closes all the same."""
+    config = read(told(free_port(), "127.0.0.1:9", known=known(8080)), {})
+    loop = asyncio.new_event_loop()
+    program = Program(config, loop, lambda: 1e6)
+    full, other = Port(), Port()
+    other.waited_for = False
+    program._listeners = [(full, ("127.0.0.1", 1)), (other, ("127.0.0.1", 2))]
+    program._ending = ending
+    program._close_listeners(5.0)
+    assert full.until == other.until == 5.0, "what comes from now on is answered by then"
+    assert full.closed == other.closed == ending
+    full.waited_for = False
+    program._close_listeners(5.0)
+    assert full.closed and other.closed
+    loop.close()
+
+
+def test_a_full_house_with_somebody_at_the_port_is_waited_for():
+    house = House(KEPT, most=1)
+    phone = served(house)
+    assert not house.listener.waited_for, "nobody is there"
+    house.listener._socket.waiting.append(None)
+    assert house.listener.waited_for
+    phone.sock.close()
+    house.turn()
+    assert not house.listener.waited_for, "there is room"
+    house.listener._socket.waiting.clear()
+    house.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,10 +1,14 @@
 """What comes between two steps on a connection to a worker."""
 
+import asyncio
+import errno
 import json
 
 import pytest
 from desk import Desk
 
+from eiderfield.net.loop import Driver
+
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -148,3 +152,41 @@
     assert client.answers()[0][0] == 502 and not end.pipe.open
     assert desk.exchange.spoilt_answers == 1
     assert "an answer cannot be used: " in desk.logged[-1]
+
+
+@pytest.mark.parametrize(("faults", "failed"), [
+    ([errno.EMFILE, errno.ENFILE], []),
+    ([errno.ECONNREFUSED], ["refused"]),
+    ([errno.EMFILE, errno.EHOSTUNREACH], ["refused"]),
+])  # fmt: skip
+def test_a_dial_that_found_descriptors_short_is_tried_again_and_blames_nobody(faults, failed, monkeypatch):
+    """It ended as if the worker had refused, and rested a worker that was well."""
+    loop, calls, heard = asyncio.new_event_loop(), [], []
+
+    async def connect(factory, *address):
+        calls.append(address)
+        if len(calls) <= len(faults):
+            raise OSError(faults[len(calls) - 1], "no")
+
+    monkeypatch.setattr(loop, "create_connection", connect)
+    driver = Driver(loop, lambda: 1e6)
+    task = driver.dial(asyncio.BufferedProtocol(), ("127.0.0.1", 9), lambda: heard.append("refused"))
+    loop.run_until_complete(task)
+    loop.close()
+    assert heard == failed and len(calls) == len(faults) + (not failed)
+
+
+def test_a_dial_that_waits_for_a_descriptor_can_be_called_off(monkeypatch):
+    loop, heard = asyncio.new_event_loop(), []
+
+    async def connect(factory, *address):
+        raise OSError(errno.EMFILE, "no")
+
+    monkeypatch.setattr(loop, "create_connection", connect)
+    driver = Driver(loop, lambda: 1e6)
+    task = driver.dial(asyncio.BufferedProtocol(), ("127.0.0.1", 9), lambda: heard.append(1))
+    loop.call_soon(loop.call_soon, task.cancel)
+    with pytest.raises(asyncio.CancelledError):
+        loop.run_until_complete(task)
+    loop.close()
+    assert not heard
