--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -72,6 +72,15 @@
     assert all(at is not None for at in done)
 
 
+def test_what_the_bound_costs_at_a_source_too_slow_for_it():
+    """Of 20 calls a second, 200 callers that wait for 4.4 s at most leave none free for long: no wait that
+    keeps the 6 s can tell them all, and the waits of up to 80 s that did broke the 6 s. Stated so that a
+    change of either shows."""
+    backoffs = [Backoff(200, number, Random(number)) for number in range(200)]
+    done = served(backoffs, 120_000.0, [backoff.first(True) for backoff in backoffs], 50.0)
+    assert sum(at is not None for at in done) == 42
+
+
 @pytest.mark.parametrize("sharers", [1, 4, 9, 40, 200, 1000])
 def test_no_number_of_failures_makes_a_wait_longer_than_leaves_time_to_be_told(sharers):
     """Waits once grew to 80 s at 200 sharers, so that a source of 20 calls a second told them all in the end.
