Test SIGHUP, with a faulty file and a good one, while a start waits for its list

A crossing that no test caused: a real process, its source silent. It holds as it stands: the faulty file is refused with its key, the other source is followed, and the start goes on with its list.

--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -181,3 +181,25 @@
         assert process.poll() is None
         process.kill()
         reader.join(30)
+
+
+def test_hang_ups_while_a_start_waits_for_its_list_are_heeded_or_refused(tmp_path):
+    """The source it waits for is silent; a faulty file changes nothing, and one that names another source is
+    followed there."""
+    worker, port, path = Counting(), free_port(), tmp_path / "config.json"
+    silent, other = Held(worker.port), Source(worker.port)
+    config = told(port, f"127.0.0.1:{silent.port}", known=known(worker.port))
+    path.write_text(json.dumps(config))
+    with running(path, wait=False) as process:
+        assert b"watch=1" in silent.asked.get(timeout=30)
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        assert "not taken: LB_CONFIG" in process.stderr.readline()
+        path.write_text(json.dumps({**config, "discovery": f"127.0.0.1:{other.port}"}))
+        process.send_signal(signal.SIGHUP)
+        assert "read again" in process.stderr.readline()
+        assert b"watch=1" in other.asked.get(timeout=30)
+        assert "listens on" in process.stderr.readline()
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            assert ask(sock, JOB) == (200, b"cba")
+    assert not silent.let.is_set()
