--- a/review/standins.py
+++ b/review/standins.py
@@ -28,7 +28,8 @@
 HOST = "127.0.0.1"
 RUN_LIMIT_S = 105.0  # of a whole script, which may take 120 s
 READY_LIMIT_S = 30.0  # the platform's own limit
-OK, CREATED, NOT_FOUND = 200, 201, 404
+OK = 200
+PORTS, PORT_TRIES = range(20000, 32000), 100
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes
 
 
@@ -50,10 +51,13 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that nobody uses now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Return a free port below those that the system gives to connections and to the stand-ins."""
+    for _ in range(PORT_TRIES):
+        port = random.choice(PORTS)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((HOST, port))
+            return port
+    raise CannotRunError("no free port was found")
 
 
 @dataclass(slots=True)
@@ -488,6 +492,7 @@
 def play(case_folder: Path, case: Callable[[Stage], Awaitable[list[str]]]) -> None:
     """Play a case, which returns how the rule was broken, and exit with the code of the verdict."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # ends the processes that were started
     record = Record(case_folder)
     code = NOT_RUN
     with tempfile.TemporaryDirectory() as folder:
