--- a/review/10/play.py
+++ b/review/10/play.py
@@ -55,6 +55,7 @@
         f"X-Deadline-Ms: 12000\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     writer.write(head.encode() + body)
+    case.note("sent", id="r1", to="n0")
     await asyncio.sleep(LEAVES_AFTER_S)
     writer.close()
     await writer.wait_closed()
