Give the parts of durable requests the monotonic clock of the process

Cause: the takeover's rate, the lease, the ticks and the times of records read the machine's clock directly, while a test drives the clock of its dispatcher. On a machine fast enough that no 10 ms had passed, one or two of three requests were not taken over yet when the test looked. Ruled out: the cells themselves, which were right in each failure of the earlier trace.

Change: ProcessServices has a monotonic clock, the machine's unless a test gives its own; coordinator, member and commit thread use it.

--- a/eiderfield/durable_requests/claims.py
+++ b/eiderfield/durable_requests/claims.py
@@ -29,7 +29,6 @@
 from eiderfield.durable_requests.record import AttemptRecord
 from eiderfield.durable_requests.timing import MAX_RETRY_INTERVAL_MS, RETRY_INTERVAL_MS
 from eiderfield.exchange.request import Attempt
-from eiderfield.machine import steady_ms
 
 ClaimCallback = Callable[[bool], None]  # its argument: whether the attempt may start
 
@@ -91,7 +90,9 @@
         member = self._context.member
         incarnation = self._incarnations.get(attempt)
         return (
-            bool(incarnation) and incarnation == member.incarnation_name and member.holds_lease(steady_ms())
+            bool(incarnation)
+            and incarnation == member.incarnation_name
+            and member.holds_lease(self._context.monotonic())
         )
 
     def end(self, attempt: Attempt) -> None:
--- a/eiderfield/durable_requests/commit_thread.py
+++ b/eiderfield/durable_requests/commit_thread.py
@@ -21,7 +21,6 @@
 from eiderfield.durable_requests.member import Member
 from eiderfield.durable_requests.messages import NotOwned, Operation, Outcome
 from eiderfield.durable_requests.record import Record
-from eiderfield.machine import steady_ms
 
 MAX_GROUP_SIZE = 256  # operations in one commit
 TAKEOVER_INTERVAL_MS = 20.0  # between two commits of requests that are taken over
@@ -146,7 +145,7 @@
 
     def _time_to_next_step(self) -> float:
         due = min(self._next_tick, self._next_poll) if self._watched else self._next_tick
-        delay = due - steady_ms()
+        delay = due - self.member.now()
         if self.member.pending_takeovers:
             delay = min(delay, TAKEOVER_INTERVAL_MS)
         return max(MIN_WAIT_MS, delay)
@@ -188,7 +187,7 @@
         self._post(lambda: on_left(has_left))
 
     def _tick_if_due(self) -> None:
-        now, member = steady_ms(), self.member
+        now, member = self.member.now(), self.member
         if now < self._next_tick or member.has_left:
             return
         self._next_tick = now + member.settings.tick_interval_ms
@@ -201,7 +200,7 @@
             self._post(lambda: self._listener.on_taken_over(records))
 
     def _poll_if_due(self) -> None:
-        now = steady_ms()
+        now = self.member.now()
         if self._watched and now >= self._next_poll:
             self._next_poll = now + POLL_INTERVAL_MS
             self._poll()
--- a/eiderfield/durable_requests/coordinator.py
+++ b/eiderfield/durable_requests/coordinator.py
@@ -48,7 +48,7 @@
         """Open the folder. Raises `FolderError` for a fault that only an operator can mend."""
         classes = services.exchange.settings.classes
         priorities = {each.name: each.priority_weight for each in classes}
-        member = Member(settings, name, priorities, services.log)
+        member = Member(settings, name, priorities, services.log, services.monotonic)
         thread = CommitThread(member, services.call_in_loop, settings.max_waiting_operations)
         self.context = LoopContext(services, thread, tuple(each.name for each in classes))
         self._remote_waiters = RemoteWaiters(self.context)
--- a/eiderfield/durable_requests/exchange_hooks.py
+++ b/eiderfield/durable_requests/exchange_hooks.py
@@ -8,7 +8,6 @@
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.record import AttemptRecord
 from eiderfield.exchange.request import Answer, Attempt, PendingRequest
-from eiderfield.machine import steady_ms
 
 
 class ExchangeHooks:
@@ -32,7 +31,7 @@
         ids = self._context.services.ids
         endpoint = self._context.exchange.endpoints.endpoint(attempt.worker)
         worker, zone = ids.worker_name(attempt.worker), ids.zone_name(endpoint.zone)
-        record = AttemptRecord(attempt.number, worker, zone, endpoint.cell, steady_ms())
+        record = AttemptRecord(attempt.number, worker, zone, endpoint.cell, self._context.monotonic())
         self._claims.request(attempt, record, on_claimed)
 
     def may_write(self, attempt: Attempt) -> bool:
--- a/eiderfield/durable_requests/intake.py
+++ b/eiderfield/durable_requests/intake.py
@@ -36,7 +36,6 @@
 from eiderfield.durable_requests.timing import RECORDING_TIME_MS, REJECTION_RETRY_AFTER_MS
 from eiderfield.durable_requests.waiters import AnswerCallback, Waiter
 from eiderfield.exchange.request import Answer, Request, Verdict
-from eiderfield.machine import steady_ms
 
 WITHDRAWN = "others of its submission were refused"  # the reason of an answer, for operators
 EXPIRY_MARGIN_MS = RECORDING_TIME_MS / 4.0  # time before its deadline at which a waiter expires
@@ -127,7 +126,7 @@
             request,
             class_name,
             self._context.now(),
-            steady_ms(),
+            self._context.monotonic(),
             waiter.front,
             self._context.tenant_name(request.tenant_index),
         )
--- a/eiderfield/durable_requests/loop_context.py
+++ b/eiderfield/durable_requests/loop_context.py
@@ -17,7 +17,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessServices:
-    """The services that the process provides. `clock` returns the time of request deadlines, in ms."""
+    """The services that the process provides.
+
+    `clock` returns the time of request deadlines, `monotonic` the clock that all processes of the host share;
+    both in ms.
+    """
 
     exchange: Exchange
     ids: IdMap
@@ -25,6 +29,7 @@
     clock: Callable[[], float]
     call_in_loop: CallInLoop
     log: Callable[[str], None]
+    monotonic: Callable[[], float] = steady_ms
 
 
 @dataclass(slots=True)
@@ -62,10 +67,14 @@
         """Return the time of the process's clock, in ms."""
         return self.services.clock()
 
+    def monotonic(self) -> float:
+        """Return the machine's monotonic clock, in ms."""
+        return self.services.monotonic()
+
     def call_after(self, delay: float, callback: Callable[[], object]) -> None:
         """Call `callback` in `delay` ms."""
         self.services.timers.call_at(self.now() + delay, callback)
 
     def from_monotonic(self, at: float) -> float:
         """Convert a time of the machine's monotonic clock, in ms, to the process's clock."""
-        return at - steady_ms() + self.now()
+        return at - self.monotonic() + self.now()
--- a/eiderfield/durable_requests/member.py
+++ b/eiderfield/durable_requests/member.py
@@ -72,11 +72,12 @@
     ) -> None:
         """Open the folder.
 
-        `priorities` has the priority weight of each class, by name. Raises `FolderError` if only an operator
-        can make the folder usable.
+        `priorities` has the priority weight of each class, by name; `now` returns the monotonic clock in ms.
+        Raises `FolderError` if only an operator can make the folder usable.
         """
         self.settings = settings
         self.name = name
+        self.now = now
         self.folder = SharedFolder(settings.folder, flush=settings.flush)
         self.has_left = False
         readers = StoreReaders(self.folder, log)
--- a/eiderfield/durable_requests/thread_events.py
+++ b/eiderfield/durable_requests/thread_events.py
@@ -14,7 +14,6 @@
 from eiderfield.durable_requests.timing import RECORDING_TIME_MS
 from eiderfield.exchange.request import Answer, Verdict
 from eiderfield.interface import EarlierAttempt, Endpoint
-from eiderfield.machine import steady_ms
 
 CLASS_UNKNOWN = "its class is not known here"  # the reason of an answer, for operators
 
@@ -43,7 +42,7 @@
 
     def on_taken_over(self, records: list[Record]) -> None:
         """Continue requests of lost incarnations, which this process owns from now on."""
-        now, monotonic = self._context.now(), steady_ms()
+        now, monotonic = self._context.now(), self._context.monotonic()
         for record in records:
             class_index = self._class_index(record.class_name)
             owned = OwnedRequest(
--- a/tests/support/durable_process.py
+++ b/tests/support/durable_process.py
@@ -15,7 +15,7 @@
 
 
 class DurableProcess:
-    """A dispatcher and its coordinator. `run` takes the place of the commit thread."""
+    """A dispatcher and its coordinator, on one clock. `run` takes the place of the commit thread."""
 
     def __init__(
         self,
@@ -24,11 +24,16 @@
         class_index: int = 0,
         workers: int = 1,
         max_waiting: int = 2000,
+        takeovers_per_second: float = 200.0,
         **dispatcher: Any,
     ) -> None:
         self.dispatcher = InMemoryDispatcher(workers=workers, **dispatcher)
         self.settings = DurableRequestSettings(
-            folder, frozenset({class_index}), lease_ms=LEASE_MS, max_waiting_operations=max_waiting
+            folder,
+            frozenset({class_index}),
+            lease_ms=LEASE_MS,
+            max_waiting_operations=max_waiting,
+            takeovers_per_second=takeovers_per_second,
         )
         self.calls: list[Callable[[], None]] = []  # calls of the commit thread for the event loop
         services = ProcessServices(
@@ -38,6 +43,7 @@
             clock=self.dispatcher.clock,
             call_in_loop=self.calls.append,
             log=self.dispatcher.logged.append,
+            monotonic=self.dispatcher.clock,
         )
         self.coordinator = DurableRequestCoordinator(self.settings, name, services)
         self.coordinator.begin()
--- a/tests/test_durable_requests_takeover.py
+++ b/tests/test_durable_requests_takeover.py
@@ -82,6 +82,23 @@
     process.close()
 
 
+def test_rate_of_takeovers_counts_the_clock_of_the_process(tmp_path):
+    """Regression: it counted the machine's clock, beside which the clock of a test stands still or leaps."""
+    folder = tmp_path / "custody"
+    first, successor = (DurableProcess(folder, name, workers=0, takeovers_per_second=1.0) for name in "ab")
+    for number in range(9):
+        request = Request(f"j{number}", 0, first.dispatcher.now + 60_000.0, "/safe/x")
+        first.coordinator.intake.accept(request, lambda _answer: None)
+    first.run(20.0)
+    successor.fence("a.1")
+    counters = successor.coordinator.member.counters
+    assert counters.taken_over == 1
+    successor.run(3000.0)
+    assert counters.taken_over == 1 + 3
+    for process in (first, successor):
+        process.close()
+
+
 def test_fenced_member_claims_no_attempt(host):
     a, b = host.member("a"), host.member("b")
     apply_one(a, Accept(record()))
