Begin no attempt of a durable request while no client waits for it

Cause: who waits is known to the memory of the owner alone, and a successor took a request without clients for one whose client might come back. A client that only waited for a batch job that was taken over counted as its only one, so that the job ended when it left. Ruled out: cancels (in wishes/), deadlines and attempts (in the record).

Change: an attempt begins while a client waits at the owner or at another running dispatcher, which marks that in the folder. A request that was taken over without a client is suspended until one comes back, or fails at its deadline. A batch job is owed without a client. An earlier revision's dispatcher, which writes no marks, may still have its clients while it runs. The stored form of records is as it was.

--- a/eiderfield/durable_requests/answer_lookup.py
+++ b/eiderfield/durable_requests/answer_lookup.py
@@ -38,10 +38,14 @@
 
         Returns a function that stops the waiting.
         """
-        waiter = Waiter(Request(id_, UNKNOWN_CLASS, until, ""), on_answer)
+        waiter = Waiter(Request(id_, UNKNOWN_CLASS, until, ""), on_answer, is_observer=True)
         waiter.timer = self._context.services.timers.call_at(until, waiter.expire)
         self._remote_waiters.add(id_, waiter)
-        return partial(self._cancellation.on_client_left, waiter)
+        return partial(self._stop_waiting, waiter)
+
+    def _stop_waiting(self, waiter: Waiter) -> None:
+        waiter.stop()
+        self._remote_waiters.discard(waiter)
 
     def cancel(self, id_: str, on_requested: Callable[[bool], None]) -> None:
         """Request the end of a request that any process owns.
--- a/eiderfield/durable_requests/changes.py
+++ b/eiderfield/durable_requests/changes.py
@@ -30,6 +30,7 @@
     Conflict,
     EndRequested,
     Finish,
+    NoClient,
     NotOwned,
     NotWritten,
     Outcome,
@@ -119,17 +120,22 @@
         if record is None or record.stage == Stage.FINAL:
             return NotOwned()
         match change:
-            case Claim(id_, attempt):
-                if self._context.folder.end_requests.exists(id_):
-                    return EndRequested()
-                group.drafts[id_] = record.with_attempt(attempt)
-                return Claimed(own.name)
+            case Claim():
+                return self._draft_claim(own, change, record, group)
             case ReleaseClaim(id_, number):
                 group.drafts[id_] = record.without_attempt(number)
             case Finish(id_, answer, reason):
                 group.drafts[id_] = record.finished_with(answer, self._context.now(), reason)
         return Written()
 
+    def _draft_claim(self, own: Incarnation, claim: Claim, record: Record, group: _Group) -> Outcome:
+        if self._context.folder.end_requests.exists(claim.id):
+            return EndRequested()
+        if not claim.has_client and not self._lookup.is_waited_for(claim.id):
+            return NoClient()
+        group.drafts[claim.id] = record.with_attempt(claim.attempt)
+        return Claimed(own.name)
+
     def _draft_accept(self, own: Incarnation, record: Record, group: _Group) -> Outcome:
         own_record = group.drafts.get(record.id) or own.open_records.get(record.id)
         if own_record is not None:
--- a/eiderfield/durable_requests/claims.py
+++ b/eiderfield/durable_requests/claims.py
@@ -17,11 +17,13 @@
 from functools import partial
 
 from eiderfield.durable_requests.cancellation import RequestCancellation
+from eiderfield.durable_requests.client_presence import ClientPresence
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.messages import (
     Claim,
     Claimed,
     EndRequested,
+    NoClient,
     NotWritten,
     Outcome,
     ReleaseClaim,
@@ -36,10 +38,13 @@
 class AttemptClaims:
     """The claims of one process."""
 
-    def __init__(self, context: LoopContext, cancellation: RequestCancellation) -> None:
+    def __init__(
+        self, context: LoopContext, cancellation: RequestCancellation, presence: ClientPresence
+    ) -> None:
         """Cancel a request with `cancellation` if its end was requested before the claim was recorded."""
         self._context = context
         self._cancellation = cancellation
+        self._presence = presence
         self._incarnations: dict[Attempt, str] = {}  # the incarnation that claimed each open attempt
 
     @property
@@ -60,7 +65,9 @@
         then is not recorded, and `on_claimed` is not called.
         """
         if attempt.open:
-            claim = Claim(attempt.pending.request.id, record)
+            id_ = attempt.pending.request.id
+            owned = self._context.owned_requests.get(id_)
+            claim = Claim(id_, record, has_client=owned is None or owned.has_client)
             self._context.commit_thread.write(
                 claim, partial(self._on_outcome, attempt, record, on_claimed, interval)
             )
@@ -81,6 +88,8 @@
             return
         if isinstance(outcome, EndRequested):
             self._cancellation.cancel([attempt.pending.request.id])
+        if isinstance(outcome, NoClient):
+            self._presence.claim_refused(attempt.pending.request.id)
         if isinstance(outcome, Claimed) and attempt.open:
             self._incarnations[attempt] = outcome.incarnation
         on_claimed(isinstance(outcome, Claimed))
--- a/eiderfield/durable_requests/commit_thread.py
+++ b/eiderfield/durable_requests/commit_thread.py
@@ -46,6 +46,9 @@
     def on_incarnation_ended(self) -> None:
         """Handle the end of the incarnation, whose successors own its requests."""
 
+    def on_clients_found(self, ids: list[str]) -> None:
+        """Handle requests of this incarnation for which clients wait at other processes."""
+
     def on_end_requested(self, ids: list[str]) -> None:
         """Handle requests of this incarnation whose end has been requested."""
 
@@ -62,9 +65,11 @@
         self._max_waiting_operations = max_waiting_operations
         self._queue: deque[tuple[Operation, OutcomeCallback]] = deque()
         self._wakeup = threading.Condition()
-        self._watched: dict[str, None] = {}  # request ids, the last polled ones at the end
+        self._watched: dict[str, bool] = {}  # whether a request has clients; the last polled ones at the end
+        self._clientless: set[str] = set()  # ids of requests for which a client is searched
         self._is_closing = False
         self._on_left: LeaveCallback | None = None  # set by `leave`
+        self._attended_ids: list[str] = []  # set by `leave`
         self._next_tick = self._next_poll = 0.0
         self._report_errors = _ErrorReporter(member)
         self._thread = threading.Thread(target=self._run, name="durable-requests", daemon=True)
@@ -106,20 +111,44 @@
             self._queue.append((operation, on_outcome))
             self._wakeup.notify()
 
-    def watch(self, id_: str) -> None:
-        """Poll for the answer of a request that another process owns."""
+    def watch(self, id_: str, has_clients: bool = False) -> None:
+        """Poll for the answer of a request that another process owns.
+
+        With `has_clients` the owner finds that clients of this process wait for it.
+        """
         with self._wakeup:
-            self._watched[id_] = None
+            self._watched[id_] = self._watched.get(id_, False) or has_clients
             self._wakeup.notify()
 
+    def detach_clients(self, id_: str) -> None:
+        """Note that no client of this process waits any more for a request that is still polled for."""
+        with self._wakeup:
+            if id_ in self._watched:
+                self._watched[id_] = False
+
     def unwatch(self, id_: str) -> None:
         """Stop polling for the answer of a request."""
         with self._wakeup:
             self._watched.pop(id_, None)
 
-    def leave(self, on_left: LeaveCallback) -> None:
-        """Leave the members once all operations are written; `on_left` is called in the loop."""
+    def find_clients(self, id_: str) -> None:
+        """Report once clients of another process wait for a request (`on_clients_found`)."""
+        with self._wakeup:
+            self._clientless.add(id_)
+            self._wakeup.notify()
+
+    def stop_finding_clients(self, id_: str) -> None:
+        """End the search for clients of a request."""
+        with self._wakeup:
+            self._clientless.discard(id_)
+
+    def leave(self, attended_ids: list[str], on_left: LeaveCallback) -> None:
+        """Leave the members once all operations are written; `on_left` is called in the loop.
+
+        `attended_ids` are the requests of this incarnation for which clients of this process wait.
+        """
         with self._wakeup:
+            self._attended_ids = attended_ids
             self._on_left = on_left
             self._wakeup.notify()
 
@@ -132,7 +161,7 @@
                     self._wakeup.wait(self._time_to_next_step() / 1000.0)
                 group = self.next_group()
                 is_finished = self._is_closing and not group
-                on_left = self._on_left if not self._queue and not group else None
+                on_left = self.due_leave(group)
             if is_finished:
                 with self._report_errors:
                     self.member.close()
@@ -143,8 +172,12 @@
         """Remove and return the operations of the next commit."""
         return [self._queue.popleft() for _ in range(min(MAX_GROUP_SIZE, len(self._queue)))]
 
+    def due_leave(self, group: Group) -> LeaveCallback | None:
+        """Return the callback of `leave` if nothing is left to be written besides `group`, else None."""
+        return None if self._queue or group else self._on_left
+
     def _time_to_next_step(self) -> float:
-        due = min(self._next_tick, self._next_poll) if self._watched else self._next_tick
+        due = min(self._next_tick, self._next_poll) if self._has_to_poll else self._next_tick
         delay = due - self.member.now()
         if self.member.pending_takeovers:
             delay = min(delay, TAKEOVER_INTERVAL_MS)
@@ -183,7 +216,15 @@
         self._post(lambda: _call_each(callbacks, outcomes))
 
     def _leave(self, on_left: LeaveCallback) -> None:
+        """Leave the members. The successors find the marks of requests whose clients wait here."""
+        attended_ids = self._attended_ids
+        for id_ in attended_ids:
+            self.watch(id_, has_clients=True)
+        self._update_marks()
         has_left = self.member.leave()
+        if not has_left:
+            for id_ in attended_ids:
+                self.unwatch(id_)
         self._post(lambda: on_left(has_left))
 
     def _tick_if_due(self) -> None:
@@ -201,16 +242,36 @@
 
     def _poll_if_due(self) -> None:
         now = self.member.now()
-        if self._watched and now >= self._next_poll:
+        if self._has_to_poll and now >= self._next_poll:
             self._next_poll = now + POLL_INTERVAL_MS
             self._poll()
+            self._update_marks()
+            self._find_clients()
+
+    @property
+    def _has_to_poll(self) -> bool:
+        return bool(self._watched or self._clientless or len(self.member.waiting_marks))
+
+    def _update_marks(self) -> None:
+        """Let the owners of watched requests find whether clients of this process wait for them."""
+        with self._wakeup:
+            ids = [id_ for id_, has_clients in self._watched.items() if has_clients]
+        with suppress(OSError):  # the next poll tries again
+            self.member.waiting_marks.update(ids)
+
+    def _find_clients(self) -> None:
+        with self._wakeup:
+            ids = list(self._clientless)
+        if ids and (found := self.member.waited_for(ids)):
+            with self._wakeup:
+                self._clientless.difference_update(found)
+            self._post(lambda: self._listener.on_clients_found(found))
 
     def _poll(self) -> None:
         with self._wakeup:
             ids = list(self._watched)[:MAX_POLLED_IDS]
             for id_ in ids:  # move to the end: the others are polled next
-                del self._watched[id_]
-                self._watched[id_] = None
+                self._watched[id_] = self._watched.pop(id_)
         for id_, record in self.member.poll_answers(ids):
             self.unwatch(id_)
             self._post(self._answer_callback(id_, record))
--- a/eiderfield/durable_requests/context.py
+++ b/eiderfield/durable_requests/context.py
@@ -62,6 +62,7 @@
     reach_failpoint: Callable[[str], None]
     counters: Counters = field(default_factory=Counters)
     incarnation: Incarnation | None = None
+    last_own_name: str = ""  # the name of the current or else the last incarnation of this process
     _logged: set[str] = field(default_factory=set)
 
     @property
--- a/eiderfield/durable_requests/coordinator.py
+++ b/eiderfield/durable_requests/coordinator.py
@@ -21,6 +21,7 @@
 from eiderfield.durable_requests.answer_recorder import AnswerRecorder
 from eiderfield.durable_requests.cancellation import RequestCancellation
 from eiderfield.durable_requests.claims import AttemptClaims
+from eiderfield.durable_requests.client_presence import ClientPresence
 from eiderfield.durable_requests.commit_thread import CommitThread
 from eiderfield.durable_requests.errors import DurableRequestsError
 from eiderfield.durable_requests.exchange_hooks import ExchangeHooks
@@ -53,12 +54,13 @@
         self.context = LoopContext(services, thread, tuple(each.name for each in classes))
         self._remote_waiters = RemoteWaiters(self.context)
         recorder = AnswerRecorder(self.context, self._remote_waiters)
-        cancellation = RequestCancellation(self.context, recorder)
-        submission = RequestSubmission(self.context, recorder, cancellation)
-        self._claims = AttemptClaims(self.context, cancellation)
-        self.intake = RequestIntake(self.context, self._remote_waiters, submission, recorder, cancellation)
+        presence = ClientPresence(self.context, recorder, self._remote_waiters)
+        cancellation = RequestCancellation(self.context, recorder, presence)
+        submission = RequestSubmission(self.context, recorder, presence)
+        self._claims = AttemptClaims(self.context, cancellation, presence)
+        self.intake = RequestIntake(self.context, self._remote_waiters, submission, recorder, presence)
         self.lookup = AnswerLookup(self.context, self._remote_waiters, cancellation)
-        self.hooks = ExchangeHooks(self.context, self._claims, recorder, cancellation)
+        self.hooks = ExchangeHooks(self.context, self._claims, recorder, presence)
         self.thread_events = ThreadEvents(
             self.context,
             self._claims,
@@ -67,6 +69,7 @@
             submission,
             recorder,
             cancellation,
+            presence,
         )
         thread.attach_listener(self.thread_events)
         services.exchange.attach_durable_requests(self.hooks)
@@ -101,8 +104,10 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is owned and no operation waits to be written."""
-        return not self.context.owned_requests and not self.context.commit_thread.waiting_count
+        """Whether no operation waits to be written, and all owned requests wait for a client to come back."""
+        owned_requests = self.context.owned_requests.values()
+        has_work = not all(owned.is_suspended for owned in owned_requests)
+        return not has_work and not self.context.commit_thread.waiting_count
 
     def leave(self) -> None:
         """Give the unanswered requests to the other members.
@@ -114,7 +119,9 @@
         if self._has_open_unsafe_attempt():
             self.context.call_after(LEAVE_RETRY_INTERVAL_MS, self.leave)
         else:
-            self.context.commit_thread.leave(self._on_left)
+            owned_requests = self.context.owned_requests
+            attended_ids = [id_ for id_, owned in owned_requests.items() if owned.has_waiting_client]
+            self.context.commit_thread.leave(attended_ids, self._on_left)
 
     def _has_open_unsafe_attempt(self) -> bool:
         classes = self.context.exchange.settings.classes
@@ -136,6 +143,7 @@
             incarnation_name=member.incarnation_name,
             member_count=member.member_count,
             owned_requests=len(self.context.owned_requests),
+            suspended_requests=sum(owned.is_suspended for owned in self.context.owned_requests.values()),
             remote_waiters=len(self._remote_waiters),
             pending_takeovers=member.pending_takeovers,
             waiting_operations=self.context.commit_thread.waiting_count,
--- a/eiderfield/durable_requests/exchange_hooks.py
+++ b/eiderfield/durable_requests/exchange_hooks.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from eiderfield.durable_requests.answer_recorder import AnswerRecorder
-from eiderfield.durable_requests.cancellation import RequestCancellation
 from eiderfield.durable_requests.claims import AttemptClaims, ClaimCallback
+from eiderfield.durable_requests.client_presence import ClientPresence
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.record import AttemptRecord
 from eiderfield.exchange.request import Answer, Attempt, PendingRequest
@@ -18,13 +18,13 @@
         context: LoopContext,
         claims: AttemptClaims,
         recorder: AnswerRecorder,
-        cancellation: RequestCancellation,
+        presence: ClientPresence,
     ) -> None:
         """Serve the exchange of `context`."""
         self._context = context
         self._claims = claims
         self._recorder = recorder
-        self._cancellation = cancellation
+        self._presence = presence
 
     def claim(self, attempt: Attempt, on_claimed: ClaimCallback) -> None:
         """Record an attempt; `on_claimed` is called with whether it may start."""
@@ -43,7 +43,7 @@
     def attempt_ended(self, attempt: Attempt) -> None:
         """Release the claim of an attempt that has ended, and abandon its request if no client waits."""
         self._claims.end(attempt)
-        self._cancellation.abandon_unless_waited_for(attempt.pending.request.id)
+        self._presence.abandon_unless_waited_for(attempt.pending.request.id)
 
     def finish(self, pending: PendingRequest, answer: Answer) -> None:
         """Record the answer of a request, then pass it to the waiters."""
--- a/eiderfield/durable_requests/figures.py
+++ b/eiderfield/durable_requests/figures.py
@@ -14,6 +14,7 @@
     incarnation_name: str  # '' while there is none
     member_count: int
     owned_requests: int
+    suspended_requests: int  # of the owned ones, those that wait for a client to come back
     remote_waiters: int
     pending_takeovers: int
     waiting_operations: int
@@ -26,6 +27,7 @@
             "life": self.incarnation_name,
             "members": self.member_count,
             "held": self.owned_requests,
+            "suspended": self.suspended_requests,
             "askers_elsewhere": self.remote_waiters,
             "awaiting": self.pending_takeovers,
             "unwritten": self.waiting_operations,
--- a/eiderfield/durable_requests/folder.py
+++ b/eiderfield/durable_requests/folder.py
@@ -5,6 +5,7 @@
     votes/, fences/         `fences.py`
     ids/, keys/             `ids.py`
     wishes/                 `end_requests.py`
+    waiting/                `remote_clients.py`
     lives/INCARNATION.db    the records of an incarnation, with one writer (`store.py`)
 
 Processes that compete decide by one system call that succeeds for exactly one of them: it creates a link or a
@@ -30,10 +31,11 @@
 from eiderfield.durable_requests.files import FolderFiles
 from eiderfield.durable_requests.ids import IDS, KEYS, Ids
 from eiderfield.durable_requests.incarnations import HEARTBEATS, MEMBERS, Incarnations
+from eiderfield.durable_requests.remote_clients import WAITING, RemoteClients
 
 FORM = "1"  # the version of the layout
 STORES = "lives"  # the subfolder of the stores; the stored name is older than this module's
-PARTS = (MEMBERS, HEARTBEATS, VOTES, FENCES, STORES, IDS, KEYS, END_REQUESTS)
+PARTS = (MEMBERS, HEARTBEATS, VOTES, FENCES, STORES, IDS, KEYS, END_REQUESTS, WAITING)
 _FORM_FILE = "form"
 _STORE_SUFFIXES = ("", "-wal", "-shm")  # file name suffixes of an SQLite database
 _MAX_SHOWN_FORM = 20  # characters of an unknown version that a message shows
@@ -54,6 +56,7 @@
         self.fences = Fences(self._files)
         self.ids = Ids(self._files)
         self.end_requests = EndRequests(self._files)
+        self.remote_clients = RemoteClients(self._files, self.incarnations)
         self._is_usable = False
         try:
             self._open(create)
@@ -117,3 +120,4 @@
         for suffix in _STORE_SUFFIXES:
             self._files.remove(STORES, f"{incarnation}.db{suffix}")
         self.fences.remove_votes(incarnation)
+        self.remote_clients.remove_all(incarnation)
--- a/eiderfield/durable_requests/incarnations.py
+++ b/eiderfield/durable_requests/incarnations.py
@@ -37,6 +37,9 @@
     started: str  # when its process began, in the kernel's ticks
     boot: str
     offset: float  # Unix time minus its monotonic clock, in ms
+    marks_clients: bool = (
+        True  # whether it marks for which requests its clients wait; earlier revisions do not
+    )
 
     def encode(self) -> str:
         """Return the stored form."""
@@ -53,6 +56,7 @@
                 started=str(fields["started"]),
                 boot=str(fields["boot"]),
                 offset=float(fields["offset"]),
+                marks_clients=bool(fields.get("marks_clients", False)),
             )
         except (LookupError, TypeError) as error:
             raise ValueError(f"not an incarnation: {error}") from None
--- a/eiderfield/durable_requests/intake.py
+++ b/eiderfield/durable_requests/intake.py
@@ -18,7 +18,7 @@
 from functools import partial
 
 from eiderfield.durable_requests.answer_recorder import AnswerRecorder
-from eiderfield.durable_requests.cancellation import RequestCancellation
+from eiderfield.durable_requests.client_presence import ClientPresence
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.messages import (
     Accept,
@@ -56,14 +56,14 @@
         remote_waiters: RemoteWaiters,
         submission: RequestSubmission,
         recorder: AnswerRecorder,
-        cancellation: RequestCancellation,
+        presence: ClientPresence,
     ) -> None:
         """Submit accepted requests with `submission`, and record with `recorder` those that are withdrawn."""
         self._context = context
         self._remote_waiters = remote_waiters
         self._submission = submission
         self._recorder = recorder
-        self._cancellation = cancellation
+        self._presence = presence
 
     def is_durable(self, class_index: int) -> bool:
         """Return whether requests of a class are durable."""
@@ -105,7 +105,7 @@
             self._remote_waiters.add(request.id, waiter)
         else:
             self.record(waiter)
-        return partial(self._cancellation.on_client_left, waiter)
+        return partial(self._presence.client_left, waiter)
 
     def _is_known(self, id_: str) -> bool:
         """Return whether a process has acquired an id. An id that cannot be looked up counts as known."""
@@ -130,7 +130,9 @@
             waiter.front,
             self._context.tenant_name(request.tenant_index),
         )
-        owned = self._context.owned_requests.setdefault(request.id, OwnedRequest(request.class_index))
+        owned = self._context.owned_requests.setdefault(
+            request.id, OwnedRequest(request.class_index, waiter.front)
+        )
         self._context.commit_thread.write(Accept(record), partial(self._on_outcome, waiter, owned))
 
     def _on_outcome(self, waiter: Waiter, owned: OwnedRequest, outcome: Outcome) -> None:
@@ -148,6 +150,7 @@
         joins_current = isinstance(outcome, AlreadyAccepted) and outcome.id == id_ and is_current
         if joins_current and not owned.is_accepting:
             owned.waiters.append(waiter)
+            self._presence.client_joined(id_, owned)
             self._count_joined(waiter)
             return
         if is_current and owned.is_accepting:
--- a/eiderfield/durable_requests/lookup.py
+++ b/eiderfield/durable_requests/lookup.py
@@ -67,6 +67,13 @@
         except (StoreError, OSError):
             return None
 
+    def is_waited_for(self, id_: str) -> bool:
+        """Return whether clients of other processes wait for a request. Raises `OSError`."""
+        folder = self._context.folder
+        holder = folder.ids.holder(id_)
+        owners = [] if holder is None else folder.fences.chain(id_, holder.incarnation)
+        return folder.remote_clients.is_waited_for(id_, owners)
+
     def is_abandoned(self, located: LocatedRecord) -> bool:
         """Return whether a fenced incarnation acquired an id and no incarnation has recorded it.
 
--- a/eiderfield/durable_requests/member.py
+++ b/eiderfield/durable_requests/member.py
@@ -34,11 +34,14 @@
 from eiderfield.durable_requests.membership import Membership
 from eiderfield.durable_requests.messages import (
     Find,
+    FindRemoteClients,
     Found,
     NotWritten,
     Operation,
     Outcome,
     Query,
+    RemoteClientsFound,
+    RequestEnd,
     Written,
 )
 from eiderfield.durable_requests.readers import StoreReaders
@@ -47,6 +50,7 @@
 from eiderfield.durable_requests.settings import DurableRequestSettings
 from eiderfield.durable_requests.store import RecordStore
 from eiderfield.durable_requests.takeover import Takeover
+from eiderfield.durable_requests.waiting_marks import WaitingMarks
 from eiderfield.machine import steady_ms
 
 BEGIN_INTERVAL_MS = 1000.0  # between two tries to begin an incarnation
@@ -88,6 +92,7 @@
         self._changes = ChangeWriter(self._context, self._lookup)
         self._membership = Membership(self._context)
         self._takeover = Takeover(self._context, self._lookup, self._membership.renew)
+        self.waiting_marks = WaitingMarks(self._context)
         self.retention = Retention(self._context, self._lookup, self._takeover.to_own_clock)
         self._unopened_incarnation = ""  # an incarnation that was begun and has no store yet
         self._tried_to_begin_at = -BEGIN_INTERVAL_MS
@@ -145,6 +150,7 @@
         detector = FailureDetector(name, settings.lease_ms)
         self._unopened_incarnation = ""
         self._context.incarnation = Incarnation(name, store, lease, detector)
+        self._context.last_own_name = name
         self._takeover.reset()
 
     def _open_store(self) -> tuple[str, RecordStore]:
@@ -190,6 +196,8 @@
         """
         if not self.open_records:
             self.leave()
+        with suppress(OSError):
+            self.waiting_marks.remove_all()
         self._context.readers.close_all()
         self.end_incarnation()
 
@@ -205,11 +213,15 @@
         ]
 
     def _answer(self, query: Query) -> Outcome:
-        if isinstance(query, Find):
-            return Found(self.find(query.id))
         try:
-            self.folder.end_requests.add(query.id)
-        except OSError as error:
+            match query:
+                case Find(id_):
+                    return Found(self.find(id_))
+                case RequestEnd(id_):
+                    self.folder.end_requests.add(id_)
+                case FindRemoteClients(id_):
+                    return RemoteClientsFound(self._lookup.is_waited_for(id_))
+        except (StoreError, OSError) as error:
             return NotWritten(str(error))
         return Written()
 
@@ -221,6 +233,12 @@
         """Return the given requests that have their answer, or have no record to wait for."""
         return self._lookup.poll_answers(ids)
 
+    def waited_for(self, ids: Sequence[str]) -> list[str]:
+        """Return those of some requests for which clients of other processes are marked to wait."""
+        with suppress(OSError):  # the next call reads the folder again
+            return self.folder.remote_clients.marked(ids)
+        return []
+
     def requested_ends(self) -> list[str]:
         """Return the requests of this incarnation whose end has been requested.
 
--- a/eiderfield/durable_requests/messages.py
+++ b/eiderfield/durable_requests/messages.py
@@ -23,6 +23,7 @@
 
     id: str
     attempt: AttemptRecord
+    has_client: bool = True  # whether a client of this process waits
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +57,15 @@
     id: str
 
 
+@dataclass(frozen=True, slots=True)
+class FindRemoteClients:
+    """Find whether clients of other processes wait for a request. Nothing is written."""
+
+    id: str
+
+
 Change = Accept | Claim | ReleaseClaim | Finish  # written into the store of this incarnation
-Query = Find | RequestEnd  # also answered without an incarnation
+Query = Find | RequestEnd | FindRemoteClients  # also answered without an incarnation
 Operation = Change | Query
 
 # Outcomes.
@@ -99,6 +107,18 @@
     """Outcome of `Claim`: not recorded, because the end of the request has been requested."""
 
 
+@dataclass(frozen=True, slots=True)
+class NoClient:
+    """Outcome of `Claim`: not recorded, because no client of any process waits for the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteClientsFound:
+    """Outcome of `FindRemoteClients`: whether a client of another process waits."""
+
+    any_waits: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Found:
     """Outcome of `Find`: the record, None if there is none."""
@@ -130,6 +150,8 @@
     | Conflict
     | Claimed
     | EndRequested
+    | NoClient
+    | RemoteClientsFound
     | Found
     | Written
     | NotOwned
--- a/eiderfield/durable_requests/remote_waiters.py
+++ b/eiderfield/durable_requests/remote_waiters.py
@@ -23,13 +23,33 @@
     def add(self, id_: str, waiter: Waiter) -> None:
         """Let a waiter wait until the answer of the request is found. Ignores a waiter that is done."""
         if not waiter.is_done:
+            waiter.awaited_id = id_
             self._waiters.setdefault(id_, []).append(waiter)
-            self._context.commit_thread.watch(id_)
+            self._context.commit_thread.watch(id_, has_clients=not waiter.is_observer)
 
     def add_all(self, id_: str, waiters: Iterable[Waiter]) -> None:
         """Let several waiters wait for one request."""
         for waiter in waiters:
             self.add(id_, waiter)
+        if id_ not in self._waiters:
+            self._context.commit_thread.unwatch(id_)
+
+    def has_clients(self, id_: str) -> bool:
+        """Return whether a client waits for the answer of a request; observers do not count."""
+        return any(not waiter.is_done and not waiter.is_observer for waiter in self._waiters.get(id_, ()))
+
+    def discard(self, waiter: Waiter) -> bool:
+        """Remove a waiter whose client has left. Return whether it was one of these."""
+        id_ = waiter.awaited_id
+        waiters = self._waiters.get(id_, [])
+        if waiter not in waiters:
+            return False
+        waiters.remove(waiter)
+        if not self.has_clients(id_):
+            self._context.commit_thread.detach_clients(id_)
+        if not waiters:
+            self.take_back(id_)
+        return True
 
     def remove(self, id_: str) -> list[Waiter]:
         """Remove and return the waiters of a request that the commit thread no longer polls for."""
--- a/eiderfield/durable_requests/submission.py
+++ b/eiderfield/durable_requests/submission.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from eiderfield.durable_requests.answer_recorder import AnswerRecorder
-from eiderfield.durable_requests.cancellation import RequestCancellation
+from eiderfield.durable_requests.client_presence import ClientPresence
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.owned_requests import OwnedRequest
 from eiderfield.durable_requests.timing import RECORDING_TIME_MS, RETRY_INTERVAL_MS
@@ -20,13 +20,11 @@
 class RequestSubmission:
     """Submits requests to the exchange, with a deadline that leaves time to record the answer."""
 
-    def __init__(
-        self, context: LoopContext, recorder: AnswerRecorder, cancellation: RequestCancellation
-    ) -> None:
+    def __init__(self, context: LoopContext, recorder: AnswerRecorder, presence: ClientPresence) -> None:
         """Record with `recorder` the failure of a request that expires before it can be submitted."""
         self._context = context
         self._recorder = recorder
-        self._cancellation = cancellation
+        self._presence = presence
 
     def submit(
         self, request: Request, owned: OwnedRequest, earlier_attempts: tuple[EarlierAttempt, ...] = ()
@@ -45,7 +43,7 @@
                 RETRY_INTERVAL_MS, partial(self._submit_again, request, owned, earlier_attempts)
             )
         else:  # its clients may have left while it was being recorded
-            self._cancellation.abandon_unless_waited_for(request.id)
+            self._presence.abandon_unless_waited_for(request.id)
 
     def _submit_again(
         self, request: Request, owned: OwnedRequest, earlier_attempts: tuple[EarlierAttempt, ...]
--- a/eiderfield/durable_requests/thread_events.py
+++ b/eiderfield/durable_requests/thread_events.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from eiderfield.durable_requests.answer_recorder import AnswerRecorder
 from eiderfield.durable_requests.cancellation import RequestCancellation
 from eiderfield.durable_requests.claims import AttemptClaims
+from eiderfield.durable_requests.client_presence import ClientPresence
 from eiderfield.durable_requests.intake import RequestIntake
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.owned_requests import UNKNOWN_CLASS, OwnedRequest
@@ -30,6 +33,7 @@
         submission: RequestSubmission,
         recorder: AnswerRecorder,
         cancellation: RequestCancellation,
+        presence: ClientPresence,
     ) -> None:
         """Handle reports with the other parts of the coordinator."""
         self._context = context
@@ -39,6 +43,7 @@
         self._submission = submission
         self._recorder = recorder
         self._cancellation = cancellation
+        self._presence = presence
 
     def on_taken_over(self, records: list[Record]) -> None:
         """Continue requests of lost incarnations, which this process owns from now on."""
@@ -46,7 +51,10 @@
         for record in records:
             class_index = self._class_index(record.class_name)
             owned = OwnedRequest(
-                class_index, waiters=self._remote_waiters.take_back(record.id), is_accepting=False
+                class_index,
+                record.front,
+                waiters=self._remote_waiters.take_back(record.id),
+                is_accepting=False,
             )
             self._context.owned_requests[record.id] = owned
             if class_index == UNKNOWN_CLASS:
@@ -59,7 +67,8 @@
                     self._earlier_attempt(attempt, offset) for attempt in record.attempts
                 )
                 request = request_of(record, class_index, now, monotonic, self._context.tenant_index(record))
-                self._submission.submit(request, owned, earlier_attempts)
+                submit = partial(self._submission.submit, request, owned, earlier_attempts)
+                self._presence.submit_once_waited_for(request, owned, len(earlier_attempts), submit)
 
     def _class_index(self, name: str) -> int:
         names = self._context.class_names
@@ -104,12 +113,17 @@
         """Cancel requests whose end another process has requested."""
         self._cancellation.cancel(ids)
 
+    def on_clients_found(self, ids: list[str]) -> None:
+        """Continue requests for which clients wait at other dispatchers."""
+        self._presence.clients_found(ids)
+
     def on_incarnation_ended(self) -> None:
         """Give up all owned requests, which the successors of this incarnation own and answer."""
         for id_, owned in list(self._context.owned_requests.items()):
             if owned.is_accepting:
                 continue
             del self._context.owned_requests[id_]
+            self._presence.give_up(id_, owned)
             if owned.is_submitted:
                 self._context.exchange.release_request(owned.exchange_id)
             self._remote_waiters.add_all(id_, owned.waiters)
--- a/eiderfield/durable_requests/waiters.py
+++ b/eiderfield/durable_requests/waiters.py
@@ -31,6 +31,12 @@
     timer: Timer | None = None
     is_done: bool = False
     is_held: bool = False
+    is_observer: bool = False  # asks for the answer of a request that another client has submitted
+    awaited_id: str = ""  # the id of the request that it waits for: another one holds the key of its own
+
+    def __post_init__(self) -> None:
+        """Wait for its own request at first."""
+        self.awaited_id = self.awaited_id or self.request.id
 
     def answer(self, answer: Answer) -> None:
         """Pass the answer on, unless the waiter is done."""
--- a/tests/test_durable_requests_takeover.py
+++ b/tests/test_durable_requests_takeover.py
@@ -67,6 +67,8 @@
     first.run(20.0)
     successor = DurableProcess(folder, "b", workers=0, site=replace(SITE, tenants=TENANTS_OF_SUCCESSOR))
     successor.fence("a.1")
+    successor.coordinator.intake.accept(request, lambda _answer: None)  # its client comes back
+    successor.run(20.0)
     [pending] = successor.dispatcher.exchange.pending_requests.values()
     assert pending.request.tenant_index == index
     for process in (first, successor):
