Read the records of successors at a dispatcher that has left

Beside it, a waiter whose time was over was failed without a look at the record, and a recorded batch job took that for its end. Ruled out: the handover (one record with one end), results that cross it (recorded before the fence or refused as late: that test passes without the change as well where the result is first).

Change: a process without an incarnation reads the fences before each look-up and poll and for its figures. A request over HTTP that another process owns is looked up once more before its waiter expires. A recorded batch job ends as it is recorded.

--- a/eiderfield/durable_requests/commit_thread.py
+++ b/eiderfield/durable_requests/commit_thread.py
@@ -229,7 +229,7 @@
 
     def _tick_if_due(self) -> None:
         now, member = self.member.now(), self.member
-        if now < self._next_tick or member.has_left:
+        if now < self._next_tick:
             return
         self._next_tick = now + member.settings.tick_interval_ms
         member.tick()
--- a/eiderfield/durable_requests/coordinator.py
+++ b/eiderfield/durable_requests/coordinator.py
@@ -9,9 +9,9 @@
 
 Invariants:
 
-- No answer is passed on before it is recorded, with two exceptions: a failure that a client gets just before
-  its deadline, which promises nothing about the request, and an answer that the disk refuses, which is
-  recorded once the disk allows it.
+- No answer is passed on before it is recorded, with two exceptions: a failure that a client gets over HTTP
+  just before its deadline, which promises nothing about the request, and an answer that the disk refuses,
+  which is recorded once the disk allows it.
 - No attempt starts under the claim of an incarnation that has ended.
 """
 
@@ -25,6 +25,7 @@
 from eiderfield.durable_requests.commit_thread import CommitThread
 from eiderfield.durable_requests.errors import DurableRequestsError
 from eiderfield.durable_requests.exchange_hooks import ExchangeHooks
+from eiderfield.durable_requests.expiry import WaiterExpiry
 from eiderfield.durable_requests.figures import DurableRequestFigures
 from eiderfield.durable_requests.intake import RequestIntake
 from eiderfield.durable_requests.loop_context import LoopContext, ProcessServices
@@ -58,7 +59,10 @@
         cancellation = RequestCancellation(self.context, recorder, presence)
         submission = RequestSubmission(self.context, recorder, presence)
         self._claims = AttemptClaims(self.context, cancellation, presence)
-        self.intake = RequestIntake(self.context, self._remote_waiters, submission, recorder, presence)
+        expiry = WaiterExpiry(self.context, self._remote_waiters)
+        self.intake = RequestIntake(
+            self.context, self._remote_waiters, submission, recorder, presence, expiry
+        )
         self.lookup = AnswerLookup(self.context, self._remote_waiters, cancellation)
         self.hooks = ExchangeHooks(self.context, self._claims, recorder, presence)
         self.thread_events = ThreadEvents(
--- a/eiderfield/durable_requests/intake.py
+++ b/eiderfield/durable_requests/intake.py
@@ -19,6 +19,7 @@
 
 from eiderfield.durable_requests.answer_recorder import AnswerRecorder
 from eiderfield.durable_requests.client_presence import ClientPresence
+from eiderfield.durable_requests.expiry import WaiterExpiry
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.messages import (
     Accept,
@@ -33,12 +34,11 @@
 from eiderfield.durable_requests.record import DEFAULT_FRONT, record_of
 from eiderfield.durable_requests.remote_waiters import RemoteWaiters
 from eiderfield.durable_requests.submission import RequestSubmission
-from eiderfield.durable_requests.timing import RECORDING_TIME_MS, REJECTION_RETRY_AFTER_MS
+from eiderfield.durable_requests.timing import REJECTION_RETRY_AFTER_MS
 from eiderfield.durable_requests.waiters import AnswerCallback, Waiter
 from eiderfield.exchange.request import Answer, Request, Verdict
 
 WITHDRAWN = "others of its submission were refused"  # the reason of an answer, for operators
-EXPIRY_MARGIN_MS = RECORDING_TIME_MS / 4.0  # time before its deadline at which a waiter expires
 
 ClientLeftCallback = Callable[[], None]  # a front calls it when its client has left
 
@@ -57,6 +57,7 @@
         submission: RequestSubmission,
         recorder: AnswerRecorder,
         presence: ClientPresence,
+        expiry: WaiterExpiry,
     ) -> None:
         """Submit accepted requests with `submission`, and record with `recorder` those that are withdrawn."""
         self._context = context
@@ -64,6 +65,7 @@
         self._submission = submission
         self._recorder = recorder
         self._presence = presence
+        self._expiry = expiry
 
     def is_durable(self, class_index: int) -> bool:
         """Return whether requests of a class are durable."""
@@ -98,9 +100,7 @@
         if is_full and not self._is_known(request.id):
             self._reject(waiter)
             return _ignore
-        waiter.timer = self._context.services.timers.call_at(
-            request.deadline - EXPIRY_MARGIN_MS, waiter.expire
-        )
+        self._expiry.schedule(waiter)
         if is_full:
             self._remote_waiters.add(request.id, waiter)
         else:
@@ -144,7 +144,7 @@
             if waiter.is_held:
                 self._hold(waiter, owned)
             else:
-                waiter.on_recorded()
+                waiter.mark_recorded()
                 self._submission.submit(waiter.request, owned)
             return
         joins_current = isinstance(outcome, AlreadyAccepted) and outcome.id == id_ and is_current
@@ -163,7 +163,7 @@
         if waiter.is_done:
             self.withdraw([waiter.request.id])
         else:
-            waiter.on_recorded()
+            waiter.mark_recorded()
 
     def release(self, ids: Iterable[str]) -> None:
         """Submit the held requests among these. The successors of a lost incarnation submit its requests."""
@@ -187,7 +187,7 @@
         """Answer a waiter whose request this process does not own, or let it wait for the owner's answer."""
         match outcome:
             case AlreadyFinal(record):
-                waiter.on_recorded()
+                waiter.mark_recorded()
                 waiter.answer(record.answer)
             case Conflict():
                 waiter.answer(Answer(Verdict.CONFLICT))
@@ -204,4 +204,4 @@
 
     def _count_joined(self, waiter: Waiter) -> None:
         self._context.member.counters.joined += 1
-        waiter.on_recorded()
+        waiter.mark_recorded()
--- a/eiderfield/durable_requests/member.py
+++ b/eiderfield/durable_requests/member.py
@@ -119,8 +119,8 @@
 
     @property
     def pending_takeovers(self) -> int:
-        """The number of requests of lost incarnations that are still to be taken over."""
-        return self._takeover.pending_count
+        """The number of requests of lost incarnations that this incarnation is still to take over."""
+        return 0 if self.current_incarnation is None else self._takeover.pending_count
 
     @property
     def open_records(self) -> Mapping[str, Record]:
@@ -227,12 +227,21 @@
 
     def find(self, id_: str) -> Record | None:
         """Return the latest record of a request, from any store."""
+        self._refresh_without_incarnation()
         return self._lookup.find(id_)
 
     def poll_answers(self, ids: Iterable[str]) -> list[FoundAnswer]:
         """Return the given requests that have their answer, or have no record to wait for."""
+        self._refresh_without_incarnation()
         return self._lookup.poll_answers(ids)
 
+    def _refresh_without_incarnation(self) -> None:
+        """Read the new fences, by which records are found, while no tick of an incarnation reads them."""
+        if self.current_incarnation is None:
+            with suppress(OSError, ValueError):  # `ValueError`: a foreign file name
+                self.folder.fences.refresh()
+                self._membership.count_members()
+
     def waited_for(self, ids: Sequence[str]) -> list[str]:
         """Return those of some requests for which clients of other processes are marked to wait."""
         with suppress(OSError):  # the next call reads the folder again
@@ -268,6 +277,7 @@
             is_due = self._context.now() >= self._tried_to_begin_at + BEGIN_INTERVAL_MS
             if is_due and not self.has_left:
                 self._begin_again()
+            self._refresh_without_incarnation()
             return False
         try:
             self._tick(self.current_incarnation)
--- a/eiderfield/durable_requests/membership.py
+++ b/eiderfield/durable_requests/membership.py
@@ -33,6 +33,10 @@
         folder = self._context.folder
         return folder.incarnations.all(excluding=folder.fences.fenced)
 
+    def count_members(self) -> None:
+        """Count the incarnations that are not fenced."""
+        self.member_count = len(self.alive())
+
     def run_round(self, own: Incarnation) -> None:
         """Read the heartbeats of the others, vote against the suspected ones, and fence the lost ones."""
         folder, now = self._context.folder, self._context.now()
--- a/eiderfield/durable_requests/remote_waiters.py
+++ b/eiderfield/durable_requests/remote_waiters.py
@@ -20,6 +20,10 @@
         """Return the number of waiters."""
         return sum(map(len, self._waiters.values()))
 
+    def __contains__(self, waiter: Waiter) -> bool:
+        """Return whether a waiter is one of these."""
+        return waiter in self._waiters.get(waiter.awaited_id, ())
+
     def add(self, id_: str, waiter: Waiter) -> None:
         """Let a waiter wait until the answer of the request is found. Ignores a waiter that is done."""
         if not waiter.is_done:
@@ -40,10 +44,10 @@
 
     def discard(self, waiter: Waiter) -> bool:
         """Remove a waiter whose client has left. Return whether it was one of these."""
-        id_ = waiter.awaited_id
-        waiters = self._waiters.get(id_, [])
-        if waiter not in waiters:
+        if waiter not in self:
             return False
+        id_ = waiter.awaited_id
+        waiters = self._waiters[id_]
         waiters.remove(waiter)
         if not self.has_clients(id_):
             self._context.commit_thread.detach_clients(id_)
--- a/eiderfield/durable_requests/waiters.py
+++ b/eiderfield/durable_requests/waiters.py
@@ -30,6 +30,7 @@
     on_recorded: Callable[[], None] = _ignore
     timer: Timer | None = None
     is_done: bool = False
+    is_recorded: bool = False
     is_held: bool = False
     is_observer: bool = False  # asks for the answer of a request that another client has submitted
     awaited_id: str = ""  # the id of the request that it waits for: another one holds the key of its own
@@ -38,6 +39,11 @@
         """Wait for its own request at first."""
         self.awaited_id = self.awaited_id or self.request.id
 
+    def mark_recorded(self) -> None:
+        """Note that its request is recorded, and pass that on."""
+        self.is_recorded = True
+        self.on_recorded()
+
     def answer(self, answer: Answer) -> None:
         """Pass the answer on, unless the waiter is done."""
         if not self.is_done:
--- a/tests/support/durable_fleet.py
+++ b/tests/support/durable_fleet.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -20,6 +20,7 @@
 
 LEASE_MS = 1200.0
 STEP_MS = 10.0
+WORKER_STEP_MS = 50.0
 DEADLINE_MS = 12_000.0
 DURABLE_SITE = replace(
     SITE, classes=(replace(SAFE, deadline_ms=DEADLINE_MS), *SITE.classes[1:]), max_attempts=5
@@ -38,11 +39,11 @@
             tuple[WorkerEnd, str]
         ] = []  # the attempts that run, with the ids of their requests
 
-    def submit(self, id_: str = "r1", key: str = "") -> Client:
+    def submit(self, id_: str = "r1", key: str = "", wait: float = DEADLINE_MS) -> Client:
         """Return an HTTP client that has sent a request and waits for its answer."""
         client = Client(self.dispatcher, self.requests)
         headers = {"Idempotency_Key": key} if key else {}
-        client.post("/safe/k1", id_, int(DEADLINE_MS), b"b", **headers)
+        client.post("/safe/k1", id_, int(wait), b"b", **headers)
         return client
 
     def submit_job(self) -> str:
@@ -109,13 +110,12 @@
             for process in self.running:
                 process.run(STEP_MS)
 
-    def run_until(self, is_reached: Callable[[], bool], span: float) -> None:
-        """Let time pass until a condition holds, `span` ms at most."""
-        for _ in range(int(span / STEP_MS)):
-            if is_reached():
-                return
-            self.run(STEP_MS)
-        assert is_reached()
+    def run_with_workers(self, span: float) -> None:
+        """Let time pass in which all dials succeed and workers report the progress of their requests."""
+        for _ in range(int(span / WORKER_STEP_MS)):
+            self.run(WORKER_STEP_MS)
+            for process in self.running:
+                process.begin_attempts()
 
     def pause(self, process: FleetProcess) -> None:
         """Stop a process, which still exists."""
--- a/tests/test_durable_requests_clients.py
+++ b/tests/test_durable_requests_clients.py
@@ -42,14 +42,6 @@
     return [id_ for process in processes for id_ in process.begun]
 
 
-def let_workers_answer_dials(fleet, span):
-    """Let time pass in which all dials of workers succeed."""
-    for _ in range(int(span / 50.0)):
-        fleet.run(50.0)
-        for process in fleet.running:
-            process.begin_attempts()
-
-
 @pytest.mark.parametrize("has_attempt", [True, False])
 @pytest.mark.parametrize("order", ["read, then killed", "killed before it was read", "killed, then closed"])
 def test_no_attempt_begins_for_a_client_that_left_a_killed_dispatcher(fleet, order, has_attempt):
@@ -65,7 +57,7 @@
     elif order == "killed before it was read":
         client.pipe.break_off()
     fleet.kill(first)
-    let_workers_answer_dials(fleet, DEADLINE_MS)
+    fleet.run_with_workers(DEADLINE_MS)
     assert successor.begun == []
     record = fleet.find("r1")
     assert record.verdict in UNSERVED
@@ -87,7 +79,7 @@
         if when == "before the takeover" or is_owner == (place == "owner"):
             returning.append(process.submit())
             break
-    let_workers_answer_dials(fleet_of_three, SETTLED_MS)
+    fleet_of_three.run_with_workers(SETTLED_MS)
     assert begun_by(others) == ["r1"]
     for process in others:
         process.end_attempts(result="again")
@@ -104,12 +96,12 @@
     client.pipe.break_off()
     fleet.run(50.0)
     owner.end_attempts("failed")
-    let_workers_answer_dials(fleet, 2000.0)
+    fleet.run_with_workers(2000.0)
     assert owner.begun == ["r1", "r1"]
     returned.pipe.break_off()
     fleet.run(50.0)
     owner.end_attempts("failed")
-    let_workers_answer_dials(fleet, DEADLINE_MS - NEAR_DEADLINE_MS)
+    fleet.run_with_workers(DEADLINE_MS - NEAR_DEADLINE_MS)
     assert owner.begun == ["r1", "r1"], "an attempt began after the client had left the other dispatcher too"
     assert fleet.find("r1").verdict in UNSERVED
 
@@ -125,7 +117,7 @@
     client.pipe.break_off()
     fleet.run(50.0)
     owner.end_attempts("failed")
-    let_workers_answer_dials(fleet, 2000.0)
+    fleet.run_with_workers(2000.0)
     assert owner.begun == ["r1", "r1"]
 
 
@@ -140,12 +132,12 @@
         observer.ask("GET", f"/v1/jobs/{job_id}/wait?timeoutMs=10000")
         fleet.run(50.0)
     fleet.kill(first)
-    let_workers_answer_dials(fleet, SETTLED_MS)
+    fleet.run_with_workers(SETTLED_MS)
     assert successor.begun == [job_id]
     if observer_leaves:
         observer.pipe.break_off()
     successor.end_attempts("failed")
-    let_workers_answer_dials(fleet, 2000.0)
+    fleet.run_with_workers(2000.0)
     assert successor.begun == [job_id] * 2
     successor.end_attempts()
     fleet.run(50.0)
@@ -160,13 +152,13 @@
     fleet.run(20.0)
     if leaves:
         client.pipe.break_off()
-    let_workers_answer_dials(fleet, 2000.0)
+    fleet.run_with_workers(2000.0)
     assert successor.begun == ([] if leaves else ["r1"])
     if not leaves:
         client.pipe.break_off()
         fleet.run(50.0)
         successor.end_attempts("failed")
-        let_workers_answer_dials(fleet, 2000.0)
+        fleet.run_with_workers(2000.0)
         assert successor.begun == ["r1"], "a further attempt began for a client that had left"
 
 
@@ -176,12 +168,12 @@
     first, successor = fleet.all
     client = submit_and_begin(fleet, first)
     fleet.pause(first)
-    let_workers_answer_dials(fleet, SETTLED_MS)
+    fleet.run_with_workers(SETTLED_MS)
     assert successor.begun == []
     if leaves:
         client.pipe.break_off()
     fleet.resume(first)
-    let_workers_answer_dials(fleet, 1000.0)
+    fleet.run_with_workers(1000.0)
     assert successor.begun == ([] if leaves else ["r1"])
 
 
@@ -193,7 +185,7 @@
     info = incarnations.info("a.1")
     (fleet.folder / MEMBERS / "a.1").write_text(replace(info, marks_clients=False).encode())
     fleet.pause(first)
-    let_workers_answer_dials(fleet, SETTLED_MS)
+    fleet.run_with_workers(SETTLED_MS)
     assert successor.begun == ["r1"]
 
 
@@ -217,5 +209,5 @@
     client.pipe.break_off()
     fleet_of_three.kill(other)
     owner.end_attempts("failed")
-    let_workers_answer_dials(fleet_of_three, 2000.0)
+    fleet_of_three.run_with_workers(2000.0)
     assert owner.begun == ["r1"]
