Stay for the ends of batch jobs that only this process knows

Cause: the shutdown is made for requests, whose answer goes out on the connection on which they came. Ruled out: the submission (all 16 were accepted), the exchange (it answered every request before the end).

Change: a job that is not durable is owed until its end was sent to a client that is connected. While something is owed, the batch listener stays open and keeps connections, and the process stays. What is unfinished 0.25 s before all is to be answered ends as failed or declined. Bounds: 1.5 s without a message of a batch client, and the time at which all is answered (3.2 s after SIGTERM, 0.5 s before the earliest SIGKILL). An unknown job's error names the reasons. The running program of test_shutdown.py is in tests/support for both files; its client closes once the program has.

--- a/eiderfield/batch/bulk.py
+++ b/eiderfield/batch/bulk.py
@@ -33,7 +33,11 @@
 
     job: BatchJob
     request: Request
-    is_durable: bool
+
+    @property
+    def is_durable(self) -> bool:
+        """Whether the job goes to the durable store."""
+        return self.job.is_durable
 
 
 @dataclass(frozen=True, slots=True)
--- a/eiderfield/batch/front.py
+++ b/eiderfield/batch/front.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from eiderfield.batch.bulk import BulkResult
+from eiderfield.batch.drain import JobDrain
 from eiderfield.batch.drmaa import RETRY_AFTER_MS, DrmaaError, TryLaterError
 from eiderfield.batch.durable import DurableJobLookup
 from eiderfield.batch.local_wait import LocalWait
@@ -59,12 +60,14 @@
         """Serve the jobs of `registry`, and durable jobs of any dispatcher by `lookup`, if there is one."""
         self._to_unix = to_unix
         self._registry = registry
+        self.drain = JobDrain(registry)
         self._lookup = lookup
 
     def handle_message(
         self, listener: ListenerStatus, connection: Responder, head: Head, body: bytes
     ) -> ClientDisconnectCallback | None:
         """Respond at once, or return what to call if the client leaves before the response."""
+        self.drain.message_received(listener.clock())
         try:
             connection.proven = True  # a batch client's errors are answers like others: it may stay
             return self._route(listener, connection, head, body)
@@ -165,7 +168,10 @@
         return wait.abandon
 
     def _send_status(self, connection: Responder, job_id: str) -> None:
-        send_status(connection, self._registry.job_status(job_id), self._to_unix)
+        job = self._registry.table.find(job_id)
+        if job.answer is not None and connection.client_connected:
+            self._registry.table.mark_fetched(job)
+        send_status(connection, self._registry.status_of(job), self._to_unix)
 
 
 def require_open(listener: ListenerStatus) -> None:
--- a/eiderfield/batch/job.py
+++ b/eiderfield/batch/job.py
@@ -27,6 +27,7 @@
     template: JobTemplate  # without the body, which goes with the request and is freed with it
     submitted_at: float  # ms
     body_size: int  # bytes
+    is_durable: bool = False  # whether other processes know it
     request_number: int = 0  # the exchange's; 0 for a durable job
     answer: Answer | None = None
     finished_at: float = 0.0  # ms
--- a/eiderfield/batch/job_table.py
+++ b/eiderfield/batch/job_table.py
@@ -11,6 +11,9 @@
 from eiderfield.batch.settings import JobLimits
 from eiderfield.exchange.request import Answer
 
+# What a client cannot tell apart, nor can a process that was restarted.
+UNKNOWN_REASONS = ": it never was, or its end was removed, or the process that accepted it has ended"
+
 
 class JobTable:
     """All batch jobs of this dispatcher. Finished ones are forgotten by age, by count and by memory."""
@@ -21,6 +24,9 @@
         self._limits = limits
         self._held_bytes = 0
         self._jobs: dict[str, BatchJob] = {}
+        self._unfetched: dict[
+            str, BatchJob
+        ] = {}  # jobs that only this process knows, until a client has their end
         self._finished: OrderedDict[str, BatchJob] = OrderedDict()  # the oldest first
 
     @property
@@ -33,6 +39,21 @@
         """Number of jobs without a final answer."""
         return len(self._jobs) - len(self._finished)
 
+    @property
+    def unfinished_local(self) -> list[BatchJob]:
+        """The jobs without a final answer that no other process knows."""
+        return [job for job in self._unfetched.values() if job.answer is None]
+
+    @property
+    def has_unfetched(self) -> bool:
+        """Whether a client has yet to fetch the end of a job that no other process knows."""
+        return bool(self._unfetched)
+
+    @property
+    def last_finished_at(self) -> float:
+        """When the last job got its final answer, in ms; 0 if none has."""
+        return next(reversed(self._finished.values())).finished_at if self._finished else 0.0
+
     @property
     def held_bytes(self) -> int:
         """Size of the bodies of unfinished jobs and of the results of finished ones."""
@@ -56,13 +77,19 @@
         self.forget_expired()
         job = self._jobs.get(job_id)
         if job is None:
-            raise InvalidJobError(f"job {job_id[:MAX_NAME_LENGTH]!r} is not known")
+            raise InvalidJobError(f"job {job_id[:MAX_NAME_LENGTH]!r} is not known{UNKNOWN_REASONS}")
         return job
 
     def add(self, job: BatchJob) -> None:
         """Add an unfinished job."""
         self._held_bytes += job.body_size
         self._jobs[job.job_id] = job
+        if not job.is_durable:
+            self._unfetched[job.job_id] = job
+
+    def mark_fetched(self, job: BatchJob) -> None:
+        """Note that a client has been sent the final answer of a job."""
+        self._unfetched.pop(job.job_id, None)
 
     def finish(self, job: BatchJob, answer: Answer) -> None:
         """Record a job's final answer, call its callbacks, and forget finished jobs over the limits."""
@@ -70,6 +97,8 @@
         job.answer = answer
         job.finished_at = self._clock()
         self._finished[job.job_id] = job
+        if not job.accepted:  # the client knows from the response to its submission
+            self.mark_fetched(job)
         job.settle_acceptance()  # a job that was never recorded is reported as such
         job.call_end_callbacks()
         self.free_memory(0)
@@ -99,4 +128,5 @@
     def _forget(self, job: BatchJob) -> None:
         del self._finished[job.job_id]
         del self._jobs[job.job_id]
+        self.mark_fetched(job)
         self._held_bytes -= len(job.answer.result) if job.answer is not None else 0
--- a/eiderfield/batch/local_wait.py
+++ b/eiderfield/batch/local_wait.py
@@ -41,6 +41,8 @@
             return
         self._is_over = True
         self._timer.cancel()
+        if self._connection.client_connected:
+            self._registry.table.mark_fetched(self._job)
         send_status(self._connection, self._registry.status_of(self._job), self._to_unix)
 
     def _time_out(self) -> None:
--- a/eiderfield/batch/registry.py
+++ b/eiderfield/batch/registry.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Callable
 
-from eiderfield.batch.drmaa import JobState
+from eiderfield.batch.drmaa import RETRY_AFTER_MS, JobState
 from eiderfield.batch.durable import DurableJobs
 from eiderfield.batch.job import BatchJob
 from eiderfield.batch.job_table import JobTable
@@ -21,7 +21,7 @@
 from eiderfield.batch.settings import JobLimits
 from eiderfield.batch.submission import JobSubmission
 from eiderfield.exchange.exchange import Exchange
-from eiderfield.exchange.request import RequestState, Verdict
+from eiderfield.exchange.request import Answer, RequestState, Verdict
 
 
 class JobRegistry:
@@ -77,9 +77,22 @@
             if answer is not None:
                 self.table.finish(job, answer)
 
+    def end_unfinished(self) -> None:
+        """End all unfinished jobs that are not durable: as failed if they may have run, else as declined."""
+        for job in self.table.unfinished_local:
+            if (answer := self._exchange.cancel_request(job.request_number)) is not None:
+                self.table.finish(job, _end_with_process(answer))
+
     def _state(self, job: BatchJob) -> JobState:
         if job.answer is not None:
             return JobState.DONE if job.answer.verdict == Verdict.SERVED else JobState.FAILED
         number = job.request_number
         request_state = self._exchange.request_state(number) if number else None
         return JobState.RUNNING if request_state == RequestState.RUNNING else JobState.QUEUED_ACTIVE
+
+
+def _end_with_process(answer: Answer) -> Answer:
+    """Return the end of a job that its process ended: a refusal promises that the job did not run."""
+    if answer.may_have_run:
+        return Answer(Verdict.FAILED, may_have_run=True, attempts=answer.attempts)
+    return Answer(Verdict.DECLINED, retry_after=RETRY_AFTER_MS, attempts=answer.attempts)
--- a/eiderfield/batch/submission.py
+++ b/eiderfield/batch/submission.py
@@ -101,9 +101,10 @@
 
     def _prepare(self, template: JobTemplate) -> PreparedJob:
         body = template.body.encode()
-        job = BatchJob(self._next_id(), replace(template, body=""), self._clock(), len(body))
+        is_durable = self.is_durable(template)
+        job = BatchJob(self._next_id(), replace(template, body=""), self._clock(), len(body), is_durable)
         self._table.add(job)
-        return PreparedJob(job, self._request_for(job, body), self.is_durable(template))
+        return PreparedJob(job, self._request_for(job, body))
 
     def _request_for(self, job: BatchJob, body: bytes) -> Request:
         template = job.template
--- a/eiderfield/program/program.py
+++ b/eiderfield/program/program.py
@@ -13,11 +13,12 @@
 from eiderfield.batch.front import BatchFront
 from eiderfield.batch.registry import JobRegistry
 from eiderfield.config.loader import Config
-from eiderfield.net.clients import RequestFront
+from eiderfield.net.clients import Listener, RequestFront
 from eiderfield.net.descriptors import ConnectionLimits, allowed_descriptors
 from eiderfield.net.file_operations import thread_runner
 from eiderfield.net.handover import Handover, HandoverContext
 from eiderfield.net.loop import Driver
+from eiderfield.program.batch import BatchJobs
 from eiderfield.program.core import Core, CorePart, make_core
 from eiderfield.program.discovery import DiscoveryPart
 from eiderfield.program.durable_requests import DurableRequests, make_durable_requests
@@ -54,7 +55,7 @@
         opener = Opener(loop, socket_path)
 
         durable = make_durable_requests(config, self.core, loop)
-        bound = _bind_listeners(config, self.core, durable, limits)
+        bound, batch = _bind_listeners(config, self.core, durable, limits)
         self._clients = ClientListeners(bound, opener)
         console = ConsolePart(config, self.core, opener, self.is_ready, self._figures, self.settings.report)
         peers = make_peers(config, self.core, loop)
@@ -71,9 +72,15 @@
             console,
             self.discovery,
         ]
-        self._with_clients: list[Part] = [self._clients, *_present(peers), successor]
+        self._with_clients: list[Part] = [self._clients, *_present(batch), *_present(peers), successor]
         self.shutdown = Shutdown(
-            driver, self.core.exchange, self._parts, self._clients.listeners, handover, self.ended.set
+            driver,
+            self.core.exchange,
+            self._parts,
+            self._clients.listeners,
+            handover,
+            self.ended.set,
+            is_kept=_keeps_none if batch is None else batch.keeps,
         )
 
     @property
@@ -134,8 +141,8 @@
 
 def _bind_listeners(
     config: Config, core: Core, durable: DurableRequests | None, limits: ConnectionLimits
-) -> list[BoundListener]:
-    """Return the listeners for clients, which share the limit of client connections."""
+) -> tuple[list[BoundListener], BatchJobs | None]:
+    """Return the listeners for clients, which share the limit of client connections, and the batch part."""
     intake = None if durable is None else durable.coordinator.intake
     lookup = None if durable is None else durable.coordinator.lookup
     share = limits.clients if config.batch is None else max(1, limits.clients // 2)
@@ -146,7 +153,13 @@
         batch_front = BatchFront(registry, lookup, core.wall.to_unix)
         listener = make_client_listener(config, core, batch_front, share)
         bound.append(BoundListener("batch.listen", listener, batch.listen))
-    return bound
+        return bound, BatchJobs(batch_front.drain, listener, core)
+    return bound, None
+
+
+def _keeps_none(_listener: Listener) -> bool:
+    """Return that no listener has to stay open: there are no batch jobs."""
+    return False
 
 
 def _make_handover(core: Core, loop: asyncio.AbstractEventLoop, bound: list[BoundListener]) -> Handover:
--- a/eiderfield/program/shutdown.py
+++ b/eiderfield/program/shutdown.py
@@ -35,15 +35,22 @@
         listeners: Sequence[Listener],
         handover: Handover,
         ended: Callable[[], None],
+        is_kept: Callable[[Listener], bool] = lambda _listener: False,
     ) -> None:
-        """`ended` is called once all parts are stopped."""
+        """`ended` is called once all parts are stopped.
+
+        `is_kept` returns whether a listener has to stay open for now.
+        """
         self._driver = driver
         self._exchange = exchange
         self._parts = parts
         self._listeners = listeners
         self._handover = handover
         self._ended = ended
+        self._is_kept = is_kept
         self._ending = False
+        self._listeners_closed = False
+        self._keep_alive_disabled = False
 
     @property
     def begun(self) -> bool:
@@ -83,19 +90,32 @@
         if not self._ending and any(listener.has_waiting_clients for listener in self._listeners):
             self._again(partial(self.close_listeners, answered_by))
             return
-        for listener in self._listeners:
+        self._listeners_closed = True
+        for listener in self._not_kept():
             listener.stop_listening()
         if not self._exchange.pending_request_count and not any(each.connections for each in self._listeners):
             self._send_clients_away()
 
+    def _not_kept(self) -> list[Listener]:
+        return [listener for listener in self._listeners if not self._is_kept(listener)]
+
     def _send_clients_away(self) -> None:
-        for listener in self._listeners:
-            listener.keep_alive_disabled = listener.successor is None
+        self._keep_alive_disabled = True
+        self._close_to_clients()
         if not self._ending:
             self._end_when_idle()
 
+    def _close_to_clients(self) -> None:
+        """Close what is due at the listeners that are not kept, or not any more."""
+        for listener in self._not_kept():
+            if self._listeners_closed:
+                listener.stop_listening()
+            if self._keep_alive_disabled:
+                listener.keep_alive_disabled = listener.successor is None
+
     def _end_when_idle(self) -> None:
         self._ending = True
+        self._close_to_clients()
         self._handover.pass_idle_clients()
         for listener in self._listeners:
             if listener.keep_alive_disabled:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,136 +3,17 @@
 Every request must be answered before the process may be killed.
 """
 
-import asyncio
 import select
-import socket
-from contextlib import suppress
 
 import pytest
-from support.processes import endpoint_list, program_config
-from support.real_sockets import message
+from support.running_program import RunningProgram
 
-from eiderfield.__main__ import Program
-from eiderfield.config.loader import read
-from eiderfield.lab.ports import free_port
-from eiderfield.net.http import END, Head, Parser
 from eiderfield.net.shutdown_times import ACCEPT_TIME_MS, KILL_DELAY_MS, MAX_DEADLINE_MS
 
-STEP_MS = 10.0  # by which one step advances the clock
-TURNS_PER_STEP = 6  # turns of the loop in a step: reading, the exchange's turn, and writing
 CONNECTING_TIME_MS = 400.0  # after SIGTERM, for which clients still connect (protocol page)
 ERROR_DEADLINE_MS = 3000.0  # within which a misbehaving client must have an error or a close
 
 
-class Worker:
-    """A worker that accepts connections and never responds."""
-
-    def __init__(self):
-        self.listening_socket = socket.create_server(("127.0.0.1", 0))
-        self.listening_socket.setblocking(False)
-        self.port = self.listening_socket.getsockname()[1]
-        self.connections = []
-
-    def accept(self):
-        with suppress(BlockingIOError):
-            while True:
-                self.connections.append(self.listening_socket.accept()[0])
-                self.connections[-1].setblocking(False)
-
-    def close(self):
-        for sock in (self.listening_socket, *self.connections):
-            sock.close()
-
-
-class Client:
-    """A client's connection, on which one request is sent at a time."""
-
-    def __init__(self, port):
-        self.sock = socket.create_connection(("127.0.0.1", port))
-        self.sock.setblocking(False)
-        self.parser = Parser(responses=True)
-        self.statuses = []
-        self.sent_at = []
-        self.open = True
-
-    def read(self):
-        with suppress(BlockingIOError):
-            while self.open:
-                try:
-                    data = self.sock.recv(65536)
-                except ConnectionResetError:
-                    data = b""
-                self.open = data != b""
-                self.parser.feed(data)
-        while (got := self.parser.poll()) is not None:
-            if isinstance(got, Head):
-                self.status = got.status
-            elif got is END:
-                self.statuses.append(self.status)
-
-    @property
-    def awaits_response(self):
-        return len(self.statuses) < len(self.sent_at)
-
-    def send(self, now, data):
-        self.sock.send(data)
-        self.sent_at.append(now)
-
-
-class RunningProgram:
-    """A program with an open listener, its clock and its clients."""
-
-    def __init__(self, longest_deadline):
-        self.now = 1_000_000.0
-        self.worker = Worker()
-        config = program_config(free_port(), "127.0.0.1:9", known=endpoint_list(self.worker.port))
-        [cls] = config["settings"]["classes"]
-        config["settings"] = {**config["settings"], "classes": [{**cls, "give_up": longest_deadline}]}
-        self.loop = asyncio.new_event_loop()
-        self.program = Program(read(config, {}), self.loop, lambda: self.now)
-        [bound] = self.program._clients._bound
-        self.listener, self.port = bound.listener, bound.address[1]
-        self.listener.listen(self.loop, bound.address)
-        self.clients = []
-        self.count = 0
-
-    def turn(self):
-        for _ in range(TURNS_PER_STEP):
-            self.loop.call_soon(self.loop.stop)
-            self.loop.run_forever()
-        self.worker.accept()
-        for client in self.clients:
-            client.read()
-
-    def step(self):
-        self.now += STEP_MS
-        self.program.core.driver.wheel.advance(self.now)
-        self.turn()
-
-    def connect(self):
-        self.clients.append(Client(self.port))
-        self.turn()
-        return self.clients[-1]
-
-    def request(self, client, wait):
-        self.count += 1
-        data = message(f"r{self.count}", "/echo/a")
-        client.send(self.now, data.replace(b"Host: h", b"Host: h\r\nX-Deadline-Ms: %d" % wait))
-
-    def close(self):
-        for client in self.clients:
-            client.sock.close()
-        self.program.core.workers.close()
-        self.listener.close()
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        for _ in range(TURNS_PER_STEP):
-            self.loop.call_soon(self.loop.stop)
-            self.loop.run_forever()
-        self.worker.close()
-        self.loop.close()
-
-
 @pytest.fixture
 def start_program():
     programs = []
@@ -208,8 +89,7 @@
     sigterm_at = running.now
     running.program.stop()
     for client in clients:
-        client.sock.close()
-        client.open = False
+        client.close()
     while not running.program.ended.is_set() and running.now < sigterm_at + MAX_DEADLINE_MS + KILL_DELAY_MS:
         running.step()
     assert running.program.ended.is_set()
