Search planned ends and clients that leave in the model of durable requests

With `--plans N` up to N members and N clients leave. Without it the states are as they were (the counts of the tests are unchanged).

Two planted slips, a claim without a look for clients and a member that has left and reads its own record, are found within 16 steps.

--- a/eiderfield/cli/lab.py
+++ b/eiderfield/cli/lab.py
@@ -102,18 +102,21 @@
 @click.option("--members", type=click.IntRange(2, 4), default=3, show_default=True)
 @click.option("--jobs", type=click.IntRange(1, 3), default=1, show_default=True)
 @click.option("--faults", type=click.IntRange(0, 4), default=2, show_default=True)
+@click.option(
+    "--plans", type=click.IntRange(0, 3), default=0, show_default=True, help="planned ends, departures"
+)
 @click.option("--most", type=click.IntRange(1), default=3_000_000, show_default=True, help="states")
 @click.option("--slip", default="", help="plants a fault, to see that it is found")
-def explore_(members: int, jobs: int, faults: int, most: int, slip: str) -> None:
+def explore_(members: int, jobs: int, faults: int, plans: int, most: int, slip: str) -> None:
     """Searches all interleavings of the protocol of durable requests. Exits with 1 if one breaks a rule."""
-    from eiderfield.lab.durable_requests.protocol_model import SLIPS, Machine, start
+    from eiderfield.lab.durable_requests.protocol_model import SLIPS, SLIPS_WITH_PLANS, Machine, start
     from eiderfield.lab.explore import explore
 
     try:
         machine = Machine(slip)
     except ValueError as error:
-        raise click.UsageError(f"{error}; there are {', '.join(SLIPS)}") from None
-    found = explore(start(members, jobs, faults), machine.steps, machine.wrong, most)
+        raise click.UsageError(f"{error}; there are {', '.join((*SLIPS, *SLIPS_WITH_PLANS))}") from None
+    found = explore(start(members, jobs, faults, plans=plans), machine.steps, machine.wrong, most)
     seen = "all of them" if found.complete else "not all"
     click.echo(f"{found.states} states, {found.steps} steps, {found.depth} deep, {found.ends} ends; {seen}")
     if found.fault:
--- a/eiderfield/lab/durable_requests/protocol_model.py
+++ b/eiderfield/lab/durable_requests/protocol_model.py
@@ -8,9 +8,15 @@
 
     ask -> taken -> written -> held -> claimed -> cleared -> sent -> result -> answered -> told
 
+With `plans`, so many members may leave as planned and run on, and so many clients may leave. Where each
+client waits is then a part of the state: a claim needs a client at any running member, and a client that
+waits at a member without its job gets the record of the last owner.
+
 A slip is a planted fault that a search must find: `claim unchecked` (neither fence nor lease is checked after
 a claim), `sends first` (a byte is sent before the claim), `heirs choose` (a successor takes whatever it
-finds), `answers first` (the answer is passed on before it is written).
+finds), `answers first` (the answer is passed on before it is written). With `plans` alone: `clients
+unchecked` (a successor claims without a client), `reads own` (a member that has left answers by its own
+record).
 """
 
 from __future__ import annotations
@@ -25,7 +31,10 @@
 SENDS_FIRST = "sends first"
 SUCCESSORS_CHOOSE = "heirs choose"
 ANSWERS_FIRST = "answers first"
+CLIENTS_UNCHECKED = "clients unchecked"
+READS_OWN = "reads own"
 SLIPS = (CLAIM_UNCHECKED, SENDS_FIRST, SUCCESSORS_CHOOSE, ANSWERS_FIRST)
+SLIPS_WITH_PLANS = (CLIENTS_UNCHECKED, READS_OWN)
 
 # What a member has written of a job.
 OPEN = "accepted"
@@ -53,12 +62,19 @@
     sent: Counts  # by job, how often its first byte was sent
     asks: Counts  # by job, how often a client may still ask
     faults: int  # that may still happen
+    plans: int = 0  # members and clients that may still leave, of each so many
+    departures: int = 0
+    left: tuple[str, ...] = ()  # members that have left as planned
+    clients: tuple[tuple[str, str], ...] | None = (
+        None  # by job, a member where a client waits; None without plans
+    )
+    unattended: tuple[str, ...] = ()  # jobs that were claimed while no client waited
 
 
 Step = tuple[str, State]
 
 
-def start(members: int, jobs: int, faults: int, asks: int = 2) -> State:
+def start(members: int, jobs: int, faults: int, asks: int = 2, plans: int = 0) -> State:
     """Return the first state, with members `a`, `b`... and jobs `0`, `1`..."""
     ids = [str(number) for number in range(jobs)]
     return State(
@@ -72,6 +88,9 @@
         sent=tuple((job, 0) for job in ids),
         asks=tuple((job, asks) for job in ids),
         faults=faults,
+        plans=plans,
+        departures=plans,
+        clients=() if plans else None,
     )
 
 
@@ -107,6 +126,22 @@
         """Return the counts after the job's first byte was sent."""
         return tuple((job, count + (job == self.job)) for job, count in self.state.sent)
 
+    @property
+    def is_attended(self) -> bool:
+        """Whether a client of the job waits at any running member, or clients are not a part of the state."""
+        clients = self.state.clients
+        return clients is None or any(job == self.job for job, _ in clients)
+
+    def joining(self) -> tuple[tuple[str, str], ...] | None:
+        """Return the clients after one has come to the member."""
+        clients = self.state.clients
+        return None if clients is None else tuple(sorted({*clients, (self.job, self.member)}))
+
+    def answering(self) -> tuple[tuple[str, str], ...] | None:
+        """Return the clients after that of the member has its answer."""
+        clients = self.state.clients
+        return None if clients is None else tuple(each for each in clients if each != (self.job, self.member))
+
     def telling(self, answer: str) -> Table:
         """Return the answers of clients after the member has passed one on."""
         return with_value(self.state.told, (self.job, self.member), answer)
@@ -117,7 +152,7 @@
 
     def __init__(self, slip: str = "") -> None:
         """Plant a slip. Raises `ValueError` if there is no such slip."""
-        if slip and slip not in SLIPS:
+        if slip and slip not in (*SLIPS, *SLIPS_WITH_PLANS):
             raise ValueError(f"no such slip: {slip!r}")
         self._slip = slip
         self._next_steps: dict[str, Callable[[Turn], Iterator[Step]]] = {
@@ -145,8 +180,10 @@
                 place = dict(state.at).get(turn.key, "")
                 if place in self._next_steps:
                     yield from self._next_steps[place](turn)
+                yield from self._serve_client(turn)
             if member not in fences:
                 yield from self._fence(state, member, fences)
+                yield from self._leave(state, member, fences)
 
     @staticmethod
     def wrong(state: State) -> str:
@@ -157,13 +194,16 @@
             answers = {answer for (name, _), answer in state.told if name == job}
             if len(answers) > 1:
                 return f"job {job} has the answers {', '.join(sorted(answers))}"
+        if state.unattended:
+            return f"job {state.unattended[0]} was begun for a client that had gone"
         return ""
 
     def _faults(self, state: State, member: str) -> Iterator[Step]:
         if not state.faults:
             return
         others = tuple(name for name in state.alive if name != member)
-        yield f"{member} dies", replace(state, alive=others, faults=state.faults - 1)
+        clients = state.clients and tuple(each for each in state.clients if each[1] != member)
+        yield f"{member} dies", replace(state, alive=others, faults=state.faults - 1, clients=clients)
         if member not in state.asleep:
             asleep = (*state.asleep, member)
             yield f"{member} sleeps", replace(state, asleep=asleep, faults=state.faults - 1)
@@ -182,6 +222,42 @@
             if is_lost and name not in fences and name != member and successors:
                 yield f"{member} fences {name}", replace(state, fences=(*state.fences, (name, successors)))
 
+    @staticmethod
+    def _leave(state: State, member: str, fences: Fences) -> Iterator[Step]:
+        """Yield the planned end of a member, which fences itself and runs on."""
+        successors = tuple(
+            name for name in state.alive if name not in (*state.asleep, *fences) and name != member
+        )
+        if state.plans and successors and member not in state.asleep:
+            yield (
+                f"{member} leaves",
+                replace(
+                    state,
+                    fences=(*state.fences, (member, successors)),
+                    left=(*state.left, member),
+                    plans=state.plans - 1,
+                ),
+            )
+
+    def _serve_client(self, turn: Turn) -> Iterator[Step]:
+        """Yield the departure of a waiting client, and the answer that it gets from the record."""
+        state, job = turn.state, turn.job
+        if not state.clients or (job, turn.member) not in state.clients:
+            return
+        clients = turn.answering()
+        if state.departures:
+            yield (
+                f"client of {job} leaves {turn.member}",
+                replace(state, clients=clients, departures=state.departures - 1),
+            )
+        owner = dict(state.owner)[job]
+        answer = last_written(state, job, owner)
+        if self._slip == READS_OWN and turn.member in state.left and turn.written not in FINAL:
+            answer = FAILED  # at the deadline
+        if answer in FINAL:
+            told = with_value(state.told, (job, f"{turn.member}+waits"), answer)
+            yield f"{turn.member} looks up {job}", replace(state, told=told, clients=clients)
+
     def _begin(self, turn: Turn) -> Iterator[Step]:
         yield from self._accept(turn)
         yield from self._take_over(turn)
@@ -195,12 +271,17 @@
         left = tuple((name, count - (name == job)) for name, count in state.asks)
         owner = dict(state.owner).get(job)
         if owner is None:
-            yield turn.step("takes", "taken", owner=(*state.owner, (job, turn.member)), asks=left)
+            clients = turn.joining()
+            yield turn.step(
+                "takes", "taken", owner=(*state.owner, (job, turn.member)), asks=left, clients=clients
+            )
             return
         last = last_written(state, job, owner)
         if last in FINAL:
             told = with_value(state.told, (job, f"{turn.member}+{asks[job]}"), last)
             yield f"{turn.member} tells again {job}", replace(state, told=told, asks=left)
+        elif state.clients is not None and (job, turn.member) not in state.clients:
+            yield f"client of {job} comes to {turn.member}", replace(state, asks=left, clients=turn.joining())
 
     def _take_over(self, turn: Turn) -> Iterator[Step]:
         """Yield the takeover from a fenced owner by the last successor in the job's chain."""
@@ -228,8 +309,11 @@
     def _claim(self, turn: Turn) -> Iterator[Step]:
         if self._slip == SENDS_FIRST:
             yield turn.step("sends", "sent first", sent=turn.sending())
-        else:
+        elif turn.is_attended:
             yield turn.step("claims", "claimed", store=turn.writing(CLAIMED))
+        elif self._slip == CLIENTS_UNCHECKED:
+            unattended = (*turn.state.unattended, turn.job)
+            yield turn.step("claims", "claimed", store=turn.writing(CLAIMED), unattended=unattended)
 
     def _claim_after_sending(self, turn: Turn) -> Iterator[Step]:
         yield turn.step("claims", "sent", store=turn.writing(CLAIMED))
@@ -262,7 +346,7 @@
         if turn.is_fenced:
             yield turn.step("is fenced with", "lost")
         else:
-            yield turn.step("tells", "told", told=turn.telling(turn.written))
+            yield turn.step("tells", "told", told=turn.telling(turn.written), clients=turn.answering())
 
 
 def with_value(table: Table, key: tuple[str, str], value: str) -> Table:
--- a/tests/test_durable_requests_model.py
+++ b/tests/test_durable_requests_model.py
@@ -6,7 +6,7 @@
 from click.testing import CliRunner
 
 from eiderfield.cli import main
-from eiderfield.lab.durable_requests.protocol_model import SLIPS, Machine, start
+from eiderfield.lab.durable_requests.protocol_model import SLIPS, SLIPS_WITH_PLANS, Machine, start
 from eiderfield.lab.explore import explore
 
 
@@ -30,6 +30,24 @@
     assert not result.complete
 
 
+@pytest.mark.parametrize(("members", "faults", "plans"), [(2, 2, 2), (3, 1, 1)])
+def test_no_interleaving_of_planned_ends_and_leaving_clients_breaks_a_rule(members, faults, plans):
+    machine = Machine()
+    result = explore(start(members, 1, faults, plans=plans), machine.steps, machine.wrong)
+    assert result.complete
+    assert result.fault == ""
+
+
+@pytest.mark.parametrize(
+    ("slip", "fault"), zip(SLIPS_WITH_PLANS, ("a client that had gone", "has the answers"), strict=True)
+)
+def test_each_seeded_error_of_planned_ends_and_leaving_clients_is_found(slip, fault):
+    machine = Machine(slip)
+    result = explore(start(2, 1, 1, plans=2), machine.steps, machine.wrong)
+    assert fault in result.fault
+    assert 3 < len(result.trace) <= 16
+
+
 def test_search_finds_the_shortest_trace_and_respects_its_bound():
     def steps(n):
         yield "one", n + 1
