Call a change worse only by windows that agree, and after 5 s of comparison

Cause: the sequential test counts the requests of one window as independent, but what slows a dispatcher for a moment slows all that it has then. Traced in a change that was undone at load 20: an old dispatcher recovered first, and two windows (4 of 4 against 2 of 8, then 6 of 9 against 0 of 22) were enough. Ruled out: fewer windows since (all of them counted); one side slowed for good (the same dispatchers swing in the same way after the undo).

--- a/eiderfield/rollout/canary_analysis.py
+++ b/eiderfield/rollout/canary_analysis.py
@@ -8,7 +8,7 @@
 and the mean logarithm of latency. With alpha the false positive rate of one test and beta the false negative
 rate, Wald's bounds on the log-likelihood ratio are
 
-    ratio >= log((1 - beta) / alpha)    worse: undo
+    ratio >= log((1 - beta) / alpha)    worse, after `MIN_COMPARISON_S` at the earliest: undo
     ratio <= log(beta / (1 - alpha))    no worse: this test is cleared
     neither, when the time is over      hold: lack of evidence is no pass
 
@@ -32,6 +32,7 @@
 from eiderfield.rollout.plan import WatchSettings
 from eiderfield.rollout.sequential_test import Offset, SequentialTest
 
+MIN_COMPARISON_S = 5.0  # of watching, before a class is called worse: longer than a moment of overload
 MIN_COST_REQUESTS = 100  # of either group, for costs per request to be compared
 
 
@@ -193,7 +194,7 @@
         """Add a window to all tests. Returns what is worse; None if no test rejects H0."""
         for (class_name, measure), test in self._tests.items():
             test.add_window(class_name, observations)
-            if test.log_likelihood_ratio >= self._upper_bound:
+            if self._watched >= MIN_COMPARISON_S and test.is_worse(self._upper_bound):
                 return f"class {class_name}: {self._describe(measure)}"
             test.cleared = test.cleared or test.log_likelihood_ratio <= self._lower_bound
         return None
--- a/tests/test_rollout_analysis.py
+++ b/tests/test_rollout_analysis.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 from math import log
+from random import Random
 
 import pytest
 
@@ -105,6 +106,62 @@
     assert "class a" in assessment.reason
 
 
+def decide_beside_stalls(seed, stalled, drop=0.0):
+    """Return the decision on a change of one dispatcher of three, each of which stands still in some windows.
+
+    `stalled` is the share of windows in which a dispatcher serves nearly nothing in time, `drop` what a new
+    one serves less in time.
+    """
+    random = Random(seed)
+    analysis = CanaryAnalysis(replace(WATCH, in_time_drop=0.2), ["a", "b"], stages=3)
+    while True:
+        observations = []
+        for number in range(3):
+            is_new = number == 0
+            share = 0.1 if random.random() < stalled else 0.97 - drop * is_new
+            completed = {name: random.randint(10, 30) for name in "ab"}
+            in_time = {
+                name: sum(random.random() < share for _ in range(count)) for name, count in completed.items()
+            }
+            observations.append(Observation(f"n{number}", is_new, completed=completed, in_time=in_time))
+        decision = analysis.assess(0.25, observations).decision
+        if decision is not Decision.WAIT:
+            return decision
+
+
+@pytest.mark.parametrize("stalled", [0.0, 0.05, 0.5])
+def test_change_that_is_no_worse_is_not_undone_beside_stalls(stalled):
+    """Regression: all requests of one moment counted as independent, and load undid good changes."""
+    decisions = [decide_beside_stalls(seed, stalled) for seed in range(100)]
+    assert decisions.count(Decision.UNDO) <= WATCH.false_positive_rate * len(decisions)
+
+
+@pytest.mark.parametrize("stalled", [0.0, 0.05])
+def test_change_that_is_worse_is_undone_beside_stalls(stalled):
+    decisions = [decide_beside_stalls(seed, stalled, drop=0.3) for seed in range(100)]
+    assert decisions.count(Decision.UNDO) >= (1.0 - WATCH.false_negative_rate) * len(decisions)
+
+
+# Requests in time and in all of n0 and n1, which are new, and of n2, in a recorded change.
+OLD_RECOVERS_FIRST = (
+    ((0, 11), (0, 18), (0, 13)),
+    ((1, 5), (1, 3), (4, 4)),
+    ((0, 11), (0, 11), (6, 9)),
+    ((2, 23), (0, 22), (4, 25)),
+)
+
+
+def test_moment_in_which_old_dispatchers_recover_first_undoes_no_change():
+    """Regression: a change was undone at the third window of an overloaded machine."""
+    analysis = CanaryAnalysis(replace(WATCH, in_time_drop=0.2, false_positive_rate=0.2), ["a"], stages=3)
+    for counts in OLD_RECOVERS_FIRST:
+        observations = [
+            Observation(f"n{number}", number < 2, completed={"a": completed}, in_time={"a": in_time})
+            for number, (in_time, completed) in enumerate(counts)
+        ]
+        assert analysis.assess(0.25, observations).decision is not Decision.UNDO
+
+
 def test_change_that_serves_in_time_but_slower_is_undone():
     assessment = decide(CanaryAnalysis(WATCH, ["a"]), with_latencies(260.0, 200.0))
     assert assessment.decision is Decision.UNDO
