Count attempts that were turned away after a takeover too

A durable request could be sent max_attempts times again after its dispatcher was killed.

Cause: the record drops an attempt that is proven never to have run, and the successor counts the attempts of the record. Ruled out: attempts that may have run (in the record, counted).

Change: the record has their number in a further column; the request, the event and the decisions count it. Earlier revisions name the columns that they use, so old and new read each other's files.

--- a/eiderfield/durable_requests/record.py
+++ b/eiderfield/durable_requests/record.py
@@ -81,6 +81,7 @@
     may_have_run: bool = False
     attempt_count: int = 0  # of the answer
     reason: str = ""  # of the answer, for operators
+    released_attempts: int = 0  # attempts that are proven never to have run, which count as tries
     tenant_name: str | None = None  # '' for a tenant without a quota; None if an earlier revision recorded it
 
     @property
@@ -120,7 +121,12 @@
     def without_attempt(self, number: int) -> Record:
         """Return the record without an attempt that is proven never to have run."""
         attempts = tuple(attempt for attempt in self.attempts if attempt.number != number)
-        return replace(self, attempts=attempts, stage=Stage.CLAIMED if attempts else Stage.ACCEPTED)
+        return replace(
+            self,
+            attempts=attempts,
+            released_attempts=self.released_attempts + len(self.attempts) - len(attempts),
+            stage=Stage.CLAIMED if attempts else Stage.ACCEPTED,
+        )
 
     def finished_with(self, answer: Answer, now: float, reason: str = "") -> Record:
         """Return the record with its final answer, given at `now`."""
@@ -213,6 +219,7 @@
         subject=head.subject,
         is_client_retry=True,
         tenant_index=head.tenant if tenant_index is None else tenant_index,
+        released_attempts=record.released_attempts,
         slots=head.slots,
         memory=head.memory,
     )
--- a/eiderfield/durable_requests/record_codec.py
+++ b/eiderfield/durable_requests/record_codec.py
@@ -1,8 +1,8 @@
 """Converts records to rows of a store and back.
 
 The stored names are older than those of `record.py`: `cls` (class name), `due` (deadline), `legs` (attempts),
-`legs_in_all` (attempt count), `why` (reason), `taken` (takeovers), `number` (generation) and `tenant` (tenant
-name).
+`legs_in_all` (attempt count), `why` (reason), `taken` (takeovers), `number` (generation), `tenant` (tenant
+name) and `released` (released attempts).
 """
 
 from __future__ import annotations
@@ -32,6 +32,7 @@
     "front",
     "number",
     "tenant",
+    "released",
 )
 
 
@@ -57,6 +58,7 @@
         record.front,
         record.generation,
         record.tenant_name,
+        record.released_attempts,
     )
 
 
@@ -102,6 +104,7 @@
         attempt_count=int(_number(value["legs_in_all"])),
         reason=str(value["why"]),
         tenant_name=None if value["tenant"] is None else str(value["tenant"]),
+        released_attempts=int(_number(value["released"])),
     )
 
 
--- a/eiderfield/durable_requests/schema.py
+++ b/eiderfield/durable_requests/schema.py
@@ -12,9 +12,12 @@
 SCHEMA_VERSION = 2
 
 # What a record of an older file has in place of a column that the file lacks, as an SQL expression.
-MISSING_COLUMNS = {"front": "'platform'", "number": "1", "tenant": "NULL"}
+MISSING_COLUMNS = {"front": "'platform'", "number": "1", "tenant": "NULL", "released": "0"}
 
-_OPTIONAL_COLUMNS = {"tenant": "ALTER TABLE jobs ADD COLUMN tenant TEXT;"}
+_OPTIONAL_COLUMNS = {
+    "tenant": "ALTER TABLE jobs ADD COLUMN tenant TEXT;",
+    "released": "ALTER TABLE jobs ADD COLUMN released INTEGER NOT NULL DEFAULT 0;",
+}
 
 # The script at index N upgrades a file of version N; version 0 is a new file.
 _UPGRADES = (
--- a/eiderfield/exchange/actions.py
+++ b/eiderfield/exchange/actions.py
@@ -84,9 +84,8 @@
         pending.started_at = 0.0  # discards the start of an earlier attempt
         settings = context.settings
         # Guards against a fault of the policy. The policy is notified that the attempt was never sent.
-        if len(pending.attempts) > settings.max_attempts or (
-            has_open_attempt and not settings.hedging_allowed
-        ):
+        attempt_count = len(pending.attempts) + pending.request.released_attempts
+        if attempt_count > settings.max_attempts or (has_open_attempt and not settings.hedging_allowed):
             self.metrics.prevented_violations["attempts"] += 1
             self.attempts.end(attempt, Outcome.NOT_SENT)
             return
--- a/eiderfield/exchange/exchange.py
+++ b/eiderfield/exchange/exchange.py
@@ -313,4 +313,5 @@
         memory=request.memory,
         is_client_retry=request.is_client_retry,
         earlier_attempts=earlier_attempts,
+        released_attempts=request.released_attempts,
     )
--- a/eiderfield/exchange/request.py
+++ b/eiderfield/exchange/request.py
@@ -25,6 +25,7 @@
     tenant_index: int = 0  # index in the settings; for a tenant that they do not name, the number of tenants
     slots: float = 1.0
     memory: float = 0.0
+    released_attempts: int = 0  # of a lost dispatcher, proven never to have run; they count as attempts
 
 
 class Verdict(Enum):
--- a/eiderfield/model/events.py
+++ b/eiderfield/model/events.py
@@ -25,7 +25,7 @@
 
     `tenant_index` and `class_index` refer to the settings; `affinity_key` is 0 for none.
     `expected_work` is 0 if unknown. `earlier_attempts` are the attempts of the failed dispatcher from which
-    the request was taken over.
+    the request was taken over, and `released_attempts` the number of those that never ran.
     """
 
     request_id: int
@@ -38,6 +38,7 @@
     memory: float = 0.0
     is_client_retry: bool = False
     earlier_attempts: tuple[EarlierAttempt, ...] = ()
+    released_attempts: int = 0
 
 
 @dataclass(slots=True)
--- a/eiderfield/policy/admission.py
+++ b/eiderfield/policy/admission.py
@@ -115,6 +115,7 @@
             slack_ms=slack,
             latest_useful_start=inf if request_class.late_weight else now + slack,
             slots=event.slots or 1.0,
+            released_attempts=event.released_attempts,
         )
 
     def shed_if_full(self, newest: QueuedRequest) -> None:
--- a/eiderfield/policy/request.py
+++ b/eiderfield/policy/request.py
@@ -56,6 +56,7 @@
     latest_useful_start: float  # an attempt that is sent later can only give a late answer
     slots: float = 1.0  # slots that it takes at a worker while it runs
     attempts: list[AttemptRecord] = field(default_factory=list)
+    released_attempts: int = 0  # of a failed dispatcher, proven never to have run
     queue: OrderedDict[int, QueuedRequest] | None = None  # the buffer in which it waits, None if in none
     answered: bool = False
     streaming: bool = False  # the stream of its response has started
@@ -64,6 +65,11 @@
         """Return the first attempt that may have run or may still run, or None."""
         return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
 
+    @property
+    def attempt_count(self) -> int:
+        """The number of attempts, those of a failed dispatcher among them."""
+        return len(self.attempts) + self.released_attempts
+
     def has_open_attempt(self) -> bool:
         """Return whether an attempt is in progress at a worker."""
         return any(attempt.open for attempt in self.attempts)
--- a/eiderfield/policy/retry_rules.py
+++ b/eiderfield/policy/retry_rules.py
@@ -26,7 +26,7 @@
 
     A cancelled attempt counts as one that may have run.
     """
-    if len(request.attempts) >= max_attempts or request.streaming:
+    if request.attempt_count >= max_attempts or request.streaming:
         return False
     if request.has_open_attempt() and not hedging:
         return False
--- a/tests/test_durable_requests_store.py
+++ b/tests/test_durable_requests_store.py
@@ -91,7 +91,7 @@
 )
 
 
-def test_store_without_tenant_names_is_readable_and_upgraded_by_its_writer(tmp_path):
+def test_store_without_optional_columns_is_readable_and_upgraded_by_its_writer(tmp_path):
     """Regression: a file of the same schema version may come from a revision that has fewer columns."""
     path = tmp_path / "a.db"
     store = RecordStore(path)
@@ -99,16 +99,18 @@
         store.put(record(tenant_name="gold"))
     store.close()
     with sqlite3.connect(path) as database:
-        database.execute("ALTER TABLE jobs DROP COLUMN tenant")
+        for column in ("tenant", "released"):
+            database.execute(f"ALTER TABLE jobs DROP COLUMN {column}")
     database.close()
     assert RecordStore(path, read_only=True).get("j") == record(tenant_name=None)
     writer = RecordStore(path)
     with writer.transaction():
-        writer.put(record("k", tenant_name="gold"))
+        writer.put(record("k", tenant_name="gold", released_attempts=2))
     assert [each.tenant_name for each in map(writer.get, "jk")] == [None, "gold"]
+    assert [each.released_attempts for each in map(writer.get, "jk")] == [0, 2]
 
 
-def test_earlier_revision_reads_and_writes_a_store_with_tenant_names(tmp_path):
+def test_earlier_revision_reads_and_writes_a_store_with_optional_columns(tmp_path):
     """The statements of revision 3888fce, which refuses a file of a later version."""
     path = tmp_path / "a.db"
     store = RecordStore(path)
@@ -117,7 +119,7 @@
     with sqlite3.connect(path) as database:
         assert database.execute("PRAGMA user_version").fetchone() == (2,)
         row = database.execute(f"SELECT {COLUMNS_OF_3888FCE} FROM jobs WHERE id = 'j'").fetchone()
-        assert row == encode(record())[:-1]
+        assert row == encode(record())[:-2]
         assert set(json.loads(row[6])) == {"target", "host", "key", "subject", "tenant", "slots", "memory"}
         places = ",".join("?" * len(row))
         database.execute(
--- a/tests/test_durable_requests_takeover.py
+++ b/tests/test_durable_requests_takeover.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from support.durable_fleet import DEADLINE_MS, DURABLE_SITE, LEASE_MS, STEP_MS, DurableFleet
 from support.durable_members import SERVED, apply_one, attempt_record, record
 from support.durable_process import DurableProcess
 from support.memory_dispatcher import SITE
@@ -51,6 +52,7 @@
     assert len(a.open_records) == 0, "the new incarnation owns earlier requests"
 
 
+MAX_ATTEMPTS = DURABLE_SITE.max_attempts
 GOLD, SILVER, BRONZE = (Tenant(name, 50.0, 0.3) for name in ("gold", "silver", "bronze"))
 TENANTS_OF_SUCCESSOR = (SILVER, GOLD)  # in another order, and without bronze
 
@@ -235,3 +237,34 @@
     assert not a.tick()
     b.tick()
     assert [each.id for each in b.take_over()] == ["j"]
+
+
+def test_attempts_that_never_ran_count_after_a_takeover(tmp_path):
+    """Regression: a successor forgot them, and began as many attempts again as the settings allow in all."""
+    fleet = DurableFleet(tmp_path / "custody", ("a", "b"), workers=2)
+    first, successor = fleet.all
+    first.submit()
+    for _ in range(MAX_ATTEMPTS - 1):
+        let_attempt_be_turned_away(fleet, first)
+    assert len(first.begun) == MAX_ATTEMPTS - 1
+    fleet.kill(first)
+    fleet.run(3.0 * LEASE_MS)
+    returned = successor.submit()
+    for _ in range(MAX_ATTEMPTS):
+        let_attempt_be_turned_away(fleet, successor)
+    assert len(first.begun) + len(successor.begun) == MAX_ATTEMPTS
+    fleet.run(DEADLINE_MS)
+    assert [status for status, _, _ in returned.answers()] == [503]
+    fleet.close()
+
+
+def let_attempt_be_turned_away(fleet, process):
+    """Let time pass until an attempt reaches a worker, which turns it away unstarted, if one does."""
+    for _ in range(100):
+        fleet.run(STEP_MS)
+        while process.dispatcher.dials:
+            process.dispatcher.dials[0].up()
+        for end in process.dispatcher.ends:
+            if end.pipe.open and end.take():
+                end.status(503, X_Not_Run="1")
+                return
--- a/tests/test_golden_files.py
+++ b/tests/test_golden_files.py
@@ -98,7 +98,11 @@
     jobs = {stored.record.id: stored for stored in inspection.requests()}
     assert sorted(jobs) == sorted(expected["jobs"])
     for id_, stored in jobs.items():
-        assert stored_fields(stored.record) == {**expected["jobs"][id_]["record"], "tenant": None}
+        assert stored_fields(stored.record) == {
+            **expected["jobs"][id_]["record"],
+            "tenant": None,
+            "released": 0,
+        }
         assert stored.owner == expected["jobs"][id_]["owner"]
         assert list(stored.chain) == expected["jobs"][id_]["chain"]
         assert list(inspection.folder.ids.holder(id_)) == expected["jobs"][id_]["holder"]
