--- a/eiderfield/durable_requests/changes.py
+++ b/eiderfield/durable_requests/changes.py
@@ -38,8 +38,10 @@
     Written,
 )
 from eiderfield.durable_requests.record import Record, Stage
+from eiderfield.durable_requests.remote_clients import Presence
 
-NO_INCARNATION = "no incarnation could be begun"  # a reason of `NotWritten`
+NO_INCARNATION = "no incarnation could be begun"  # reasons of `NotWritten`
+CLIENT_IS_UNKNOWN = "whether a client waits is not known"
 ID_IS_HELD = 0  # returned in place of a generation: another incarnation holds the id
 
 
@@ -131,8 +133,11 @@
     def _draft_claim(self, own: Incarnation, claim: Claim, record: Record, group: _Group) -> Outcome:
         if self._context.folder.end_requests.exists(claim.id):
             return EndRequested()
-        if not claim.has_client and not self._lookup.is_waited_for(claim.id):
+        presence = Presence.WAITING if claim.has_client else self._lookup.presence(claim.id)
+        if presence is Presence.GONE:
             return NoClient()
+        if presence is Presence.UNKNOWN:
+            return NotWritten(CLIENT_IS_UNKNOWN)
         group.drafts[claim.id] = record.with_attempt(claim.attempt)
         return Claimed(own.name)
 
--- a/eiderfield/durable_requests/client_presence.py
+++ b/eiderfield/durable_requests/client_presence.py
@@ -3,7 +3,8 @@
 States of an owned request, as far as its clients are concerned:
 
     attended    a client of this process waits, or a batch client has submitted it: a batch job is always owed
-    remote      no client of this process waits, but one of another process does (`remote_clients.py`)
+    remote      no client of this process waits, but one of another process does, or did before that process
+                was stopped (`remote_clients.py`)
     suspended   taken over, and no client waits: the connections of its clients ended with their process.
                 It is submitted once a client comes back, and fails at its deadline otherwise
     abandoned   submitted, and all its clients have left: it ends once it has no open attempt
@@ -25,6 +26,7 @@
 from eiderfield.durable_requests.loop_context import LoopContext
 from eiderfield.durable_requests.messages import FindRemoteClients, Outcome, RemoteClientsFound
 from eiderfield.durable_requests.owned_requests import OwnedRequest, Suspension
+from eiderfield.durable_requests.remote_clients import Presence
 from eiderfield.durable_requests.remote_waiters import RemoteWaiters
 from eiderfield.durable_requests.timing import (
     RECORDING_TIME_MS,
@@ -78,8 +80,9 @@
         if not isinstance(outcome, RemoteClientsFound):  # the folder could not be read
             self._context.call_after(RETRY_INTERVAL_MS, partial(self.abandon_unless_waited_for, id_))
             return
-        owned.is_waited_for_elsewhere = outcome.any_waits
-        if not outcome.any_waits and self._may_be_abandoned(owned):
+        # Of a process that is stopped, the claim of the next attempt finds whether its clients still wait.
+        owned.is_waited_for_elsewhere = outcome.presence is not Presence.GONE
+        if not owned.is_waited_for_elsewhere and self._may_be_abandoned(owned):
             self._abandon(id_, owned)
 
     def claim_refused(self, id_: str) -> None:
@@ -122,10 +125,10 @@
     def _on_first_look_up(self, id_: str, owned: OwnedRequest, outcome: Outcome) -> None:
         if self._context.owned_requests.get(id_) is not owned or not owned.is_suspended:
             return
-        if isinstance(outcome, RemoteClientsFound) and outcome.any_waits:
+        if isinstance(outcome, RemoteClientsFound) and outcome.presence is Presence.WAITING:
             self.clients_found([id_])
         else:
-            self._context.commit_thread.find_clients(id_)
+            self._context.commit_thread.polls.find_clients(id_)
 
     def clients_found(self, ids: Iterable[str]) -> None:
         """Submit the suspended requests among these, for which clients wait at other dispatchers."""
@@ -148,7 +151,7 @@
         suspension, owned.suspension = owned.suspension, None
         if suspension is not None:
             suspension.timer.cancel()
-            self._context.commit_thread.stop_finding_clients(id_)
+            self._context.commit_thread.polls.stop_finding_clients(id_)
         return suspension
 
     def end_suspended(self, id_: str, owned: OwnedRequest, verdict: Verdict, reason: str) -> None:
--- a/eiderfield/durable_requests/commit_thread.py
+++ b/eiderfield/durable_requests/commit_thread.py
@@ -18,6 +18,7 @@
 from types import TracebackType
 from typing import Protocol
 
+from eiderfield.durable_requests.folder_polls import FolderPolls
 from eiderfield.durable_requests.member import Member
 from eiderfield.durable_requests.messages import NotOwned, Operation, Outcome
 from eiderfield.durable_requests.record import Record
@@ -25,7 +26,6 @@
 MAX_GROUP_SIZE = 256  # operations in one commit
 TAKEOVER_INTERVAL_MS = 20.0  # between two commits of requests that are taken over
 POLL_INTERVAL_MS = 25.0  # between two polls for answers
-MAX_POLLED_IDS = 200  # request ids in one poll
 MIN_WAIT_MS = 1.0  # shortest wait for an operation before the next step that is due
 
 CallInLoop = Callable[[Callable[[], None]], object]  # called from any thread
@@ -65,8 +65,7 @@
         self._max_waiting_operations = max_waiting_operations
         self._queue: deque[tuple[Operation, OutcomeCallback]] = deque()
         self._wakeup = threading.Condition()
-        self._watched: dict[str, bool] = {}  # whether a request has clients; the last polled ones at the end
-        self._clientless: set[str] = set()  # ids of requests for which a client is searched
+        self.polls = FolderPolls(member, self._wakeup)
         self._is_closing = False
         self._on_left: LeaveCallback | None = None  # set by `leave`
         self._attended_ids: list[str] = []  # set by `leave`
@@ -111,37 +110,6 @@
             self._queue.append((operation, on_outcome))
             self._wakeup.notify()
 
-    def watch(self, id_: str, has_clients: bool = False) -> None:
-        """Poll for the answer of a request that another process owns.
-
-        With `has_clients` the owner finds that clients of this process wait for it.
-        """
-        with self._wakeup:
-            self._watched[id_] = self._watched.get(id_, False) or has_clients
-            self._wakeup.notify()
-
-    def detach_clients(self, id_: str) -> None:
-        """Note that no client of this process waits any more for a request that is still polled for."""
-        with self._wakeup:
-            if id_ in self._watched:
-                self._watched[id_] = False
-
-    def unwatch(self, id_: str) -> None:
-        """Stop polling for the answer of a request."""
-        with self._wakeup:
-            self._watched.pop(id_, None)
-
-    def find_clients(self, id_: str) -> None:
-        """Report once clients of another process wait for a request (`on_clients_found`)."""
-        with self._wakeup:
-            self._clientless.add(id_)
-            self._wakeup.notify()
-
-    def stop_finding_clients(self, id_: str) -> None:
-        """End the search for clients of a request."""
-        with self._wakeup:
-            self._clientless.discard(id_)
-
     def leave(self, attended_ids: list[str], on_left: LeaveCallback) -> None:
         """Leave the members once all operations are written; `on_left` is called in the loop.
 
@@ -177,7 +145,7 @@
         return None if self._queue or group else self._on_left
 
     def _time_to_next_step(self) -> float:
-        due = min(self._next_tick, self._next_poll) if self._has_to_poll else self._next_tick
+        due = min(self._next_tick, self._next_poll) if self.polls.is_needed else self._next_tick
         delay = due - self.member.now()
         if self.member.pending_takeovers:
             delay = min(delay, TAKEOVER_INTERVAL_MS)
@@ -219,12 +187,12 @@
         """Leave the members. The successors find the marks of requests whose clients wait here."""
         attended_ids = self._attended_ids
         for id_ in attended_ids:
-            self.watch(id_, has_clients=True)
-        self._update_marks()
+            self.polls.watch(id_, has_clients=True)
+        self.polls.update_marks()
         has_left = self.member.leave()
         if not has_left:
             for id_ in attended_ids:
-                self.unwatch(id_)
+                self.polls.unwatch(id_)
         self._post(lambda: on_left(has_left))
 
     def _tick_if_due(self) -> None:
@@ -242,39 +210,14 @@
 
     def _poll_if_due(self) -> None:
         now = self.member.now()
-        if self._has_to_poll and now >= self._next_poll:
-            self._next_poll = now + POLL_INTERVAL_MS
-            self._poll()
-            self._update_marks()
-            self._find_clients()
-
-    @property
-    def _has_to_poll(self) -> bool:
-        return bool(self._watched or self._clientless or len(self.member.waiting_marks))
-
-    def _update_marks(self) -> None:
-        """Let the owners of watched requests find whether clients of this process wait for them."""
-        with self._wakeup:
-            ids = [id_ for id_, has_clients in self._watched.items() if has_clients]
-        with suppress(OSError):  # the next poll tries again
-            self.member.waiting_marks.update(ids)
-
-    def _find_clients(self) -> None:
-        with self._wakeup:
-            ids = list(self._clientless)
-        if ids and (found := self.member.waited_for(ids)):
-            with self._wakeup:
-                self._clientless.difference_update(found)
-            self._post(lambda: self._listener.on_clients_found(found))
-
-    def _poll(self) -> None:
-        with self._wakeup:
-            ids = list(self._watched)[:MAX_POLLED_IDS]
-            for id_ in ids:  # move to the end: the others are polled next
-                self._watched[id_] = self._watched.pop(id_)
-        for id_, record in self.member.poll_answers(ids):
-            self.unwatch(id_)
+        if not self.polls.is_needed or now < self._next_poll:
+            return
+        self._next_poll = now + POLL_INTERVAL_MS
+        result = self.polls.poll()
+        for id_, record in result.answers:
             self._post(self._answer_callback(id_, record))
+        if result.attended_ids:
+            self._post(lambda: self._listener.on_clients_found(result.attended_ids))
 
     def _answer_callback(self, id_: str, record: Record | None) -> Callable[[], None]:
         return lambda: self._listener.on_answer(id_, record)
--- a/eiderfield/durable_requests/lookup.py
+++ b/eiderfield/durable_requests/lookup.py
@@ -8,6 +8,7 @@
 from eiderfield.durable_requests.context import Context
 from eiderfield.durable_requests.errors import StoreError
 from eiderfield.durable_requests.record import Record, Stage
+from eiderfield.durable_requests.remote_clients import Presence
 
 
 class LocatedRecord(NamedTuple):
@@ -67,12 +68,12 @@
         except (StoreError, OSError):
             return None
 
-    def is_waited_for(self, id_: str) -> bool:
+    def presence(self, id_: str) -> Presence:
         """Return whether clients of other processes wait for a request. Raises `OSError`."""
         folder = self._context.folder
         holder = folder.ids.holder(id_)
         owners = [] if holder is None else folder.fences.chain(id_, holder.incarnation)
-        return folder.remote_clients.is_waited_for(id_, owners)
+        return folder.remote_clients.presence(id_, owners, self._context.now())
 
     def is_abandoned(self, located: LocatedRecord) -> bool:
         """Return whether a fenced incarnation acquired an id and no incarnation has recorded it.
--- a/eiderfield/durable_requests/member.py
+++ b/eiderfield/durable_requests/member.py
@@ -220,7 +220,7 @@
                 case RequestEnd(id_):
                     self.folder.end_requests.add(id_)
                 case FindRemoteClients(id_):
-                    return RemoteClientsFound(self._lookup.is_waited_for(id_))
+                    return RemoteClientsFound(self._lookup.presence(id_))
         except (StoreError, OSError) as error:
             return NotWritten(str(error))
         return Written()
@@ -245,7 +245,7 @@
     def waited_for(self, ids: Sequence[str]) -> list[str]:
         """Return those of some requests for which clients of other processes are marked to wait."""
         with suppress(OSError):  # the next call reads the folder again
-            return self.folder.remote_clients.marked(ids)
+            return self.folder.remote_clients.marked(ids, self._context.now())
         return []
 
     def requested_ends(self) -> list[str]:
--- a/eiderfield/durable_requests/messages.py
+++ b/eiderfield/durable_requests/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from eiderfield.durable_requests.record import AttemptRecord, Record
+from eiderfield.durable_requests.remote_clients import Presence
 from eiderfield.exchange.request import Answer
 
 # Operations.
@@ -114,9 +115,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RemoteClientsFound:
-    """Outcome of `FindRemoteClients`: whether a client of another process waits."""
+    """Outcome of `FindRemoteClients`."""
 
-    any_waits: bool
+    presence: Presence
 
 
 @dataclass(frozen=True, slots=True)
--- a/eiderfield/durable_requests/remote_waiters.py
+++ b/eiderfield/durable_requests/remote_waiters.py
@@ -29,14 +29,14 @@
         if not waiter.is_done:
             waiter.awaited_id = id_
             self._waiters.setdefault(id_, []).append(waiter)
-            self._context.commit_thread.watch(id_, has_clients=not waiter.is_observer)
+            self._context.commit_thread.polls.watch(id_, has_clients=not waiter.is_observer)
 
     def add_all(self, id_: str, waiters: Iterable[Waiter]) -> None:
         """Let several waiters wait for one request."""
         for waiter in waiters:
             self.add(id_, waiter)
         if id_ not in self._waiters:
-            self._context.commit_thread.unwatch(id_)
+            self._context.commit_thread.polls.unwatch(id_)
 
     def has_clients(self, id_: str) -> bool:
         """Return whether a client waits for the answer of a request; observers do not count."""
@@ -50,7 +50,7 @@
         waiters = self._waiters[id_]
         waiters.remove(waiter)
         if not self.has_clients(id_):
-            self._context.commit_thread.detach_clients(id_)
+            self._context.commit_thread.polls.detach_clients(id_)
         if not waiters:
             self.take_back(id_)
         return True
@@ -61,5 +61,5 @@
 
     def take_back(self, id_: str) -> list[Waiter]:
         """Remove and return the waiters of a request that this process owns from now on."""
-        self._context.commit_thread.unwatch(id_)
+        self._context.commit_thread.polls.unwatch(id_)
         return self.remove(id_)
--- a/eiderfield/durable_requests/waiting_marks.py
+++ b/eiderfield/durable_requests/waiting_marks.py
@@ -25,7 +25,10 @@
         return len(self._marked)
 
     def update(self, ids: Iterable[str]) -> None:
-        """Mark these requests, and no others. After an `OSError` a later call writes what is missing."""
+        """Mark these requests, and no others, and renew the lease of the marks.
+
+        After an `OSError` a later call writes what is missing.
+        """
         incarnation = self._context.last_own_name
         if not incarnation:
             return
@@ -39,6 +42,8 @@
         for id_ in self._marked - wanted:
             self._context.folder.remote_clients.remove(id_, incarnation)
             self._marked.discard(id_)
+        if self._marked:
+            self._context.folder.remote_clients.renew(incarnation, self._context.now())
 
     def remove_all(self) -> None:
         """Remove all marks. Raises `OSError`."""
--- a/tests/test_durable_requests_cancel.py
+++ b/tests/test_durable_requests_cancel.py
@@ -1,11 +1,13 @@
 """A durable request that is cancelled, or whose clients have left, starts no further attempt."""
 
+import threading
 from collections import deque
 
 import pytest
 from support.memory_dispatcher import InMemoryDispatcher
 
 from eiderfield.durable_requests.coordinator import DurableRequestCoordinator
+from eiderfield.durable_requests.folder_polls import FolderPolls
 from eiderfield.durable_requests.loop_context import ProcessServices
 from eiderfield.durable_requests.settings import DurableRequestSettings
 from eiderfield.exchange.request import Request, Verdict
@@ -20,15 +22,11 @@
         self.member = member
         self.queue = deque()
         self.max_waiting = 1000
+        self.polls = FolderPolls(member, threading.Condition())  # which nobody polls
 
     def write(self, operation, on_outcome):
         self.queue.append((operation, on_outcome))
 
-    def watch(self, id_, has_clients=False):
-        """Do nothing: no test waits for the answer of another process."""
-
-    unwatch = detach_clients = find_clients = stop_finding_clients = watch
-
     @property
     def waiting_count(self):
         return len(self.queue)
--- a/tests/test_durable_requests_clients.py
+++ b/tests/test_durable_requests_clients.py
@@ -200,6 +200,26 @@
     assert successor.coordinator.idle
 
 
+@pytest.mark.parametrize("leaves", [True, False])
+def test_client_that_waits_at_a_paused_dispatcher_may_have_gone(fleet, leaves):
+    """Regression (seeds 1396 and others of the drawn orders): the mark of a stopped process counted."""
+    owner, other = fleet.all
+    client = submit_and_begin(fleet, owner)
+    returned = other.submit()
+    fleet.run(50.0)
+    client.pipe.break_off()
+    fleet.pause(other)
+    fleet.run(150.0)
+    owner.end_attempts("failed")
+    fleet.run_with_workers(500.0)
+    assert owner.begun == ["r1"]
+    if leaves:
+        returned.pipe.break_off()
+    fleet.resume(other)
+    fleet.run_with_workers(3000.0)
+    assert owner.begun == (["r1"] if leaves else ["r1", "r1"])
+
+
 def test_mark_of_a_killed_dispatcher_does_not_count(fleet_of_three):
     """The client's connection ended with its dispatcher."""
     owner, other, _ = fleet_of_three.all
--- a/tests/test_durable_requests_leaving.py
+++ b/tests/test_durable_requests_leaving.py
@@ -131,7 +131,7 @@
     while fleet.now < last_poll:
         fleet.run(10.0)
         owner.begin_attempts()
-    first.coordinator.context.commit_thread.unwatch("r1")  # no poll sees the result in time
+    first.coordinator.context.commit_thread.polls.unwatch("r1")  # no poll sees the result in time
     owner.end_attempts(result="late")
     fleet.run(200.0)
     assert fleet.find("r1").verdict == Verdict.SERVED.value
--- a/tests/test_durable_requests_loop_on_failing_disk.py
+++ b/tests/test_durable_requests_loop_on_failing_disk.py
@@ -92,7 +92,7 @@
     monkeypatch.setattr(harness.coordinator.member, "take_over", raise_io_error)
     monkeypatch.setattr(harness.coordinator.member, "poll_answers", raise_io_error)
     outcomes = []
-    harness.coordinator.context.commit_thread.watch("other")
+    harness.coordinator.context.commit_thread.polls.watch("other")
     harness.coordinator.context.commit_thread.run_turn([(Accept(record("k")), outcomes.append)])
     for call in harness.calls:
         call()
