--- a/tests/support/durable_fleet.py
+++ b/tests/support/durable_fleet.py
@@ -16,19 +16,25 @@
 from eiderfield.net.clients import Listener, RequestFront
 from support.batch_process import BatchProcess
 from support.memory_dispatcher import SITE, Client, WorkerEnd
-from support.policy import SAFE
+from support.policy import SAFE, UNSAFE
 
 LEASE_MS = 1200.0
 STEP_MS = 10.0
 WORKER_STEP_MS = 50.0
 DEADLINE_MS = 12_000.0
 DURABLE_SITE = replace(
-    SITE, classes=(replace(SAFE, deadline_ms=DEADLINE_MS), *SITE.classes[1:]), max_attempts=5
+    SITE,
+    classes=(
+        replace(SAFE, deadline_ms=DEADLINE_MS),
+        replace(UNSAFE, deadline_ms=DEADLINE_MS),
+        *SITE.classes[2:],
+    ),
+    max_attempts=5,
 )
 
 
 class FleetProcess(BatchProcess):
-    """A dispatcher with a listener for requests and one for batch jobs; class `safe` is durable."""
+    """A dispatcher with a listener for requests and one for batch jobs; by default `safe` is durable."""
 
     def __init__(self, folder: Path, name: str, start: float, **process: Any) -> None:
         super().__init__(folder, name, site=DURABLE_SITE, lease_ms=LEASE_MS, start=start, **process)
@@ -39,11 +45,13 @@
             tuple[WorkerEnd, str]
         ] = []  # the attempts that run, with the ids of their requests
 
-    def submit(self, id_: str = "r1", key: str = "", wait: float = DEADLINE_MS) -> Client:
+    def submit(
+        self, id_: str = "r1", key: str = "", wait: float = DEADLINE_MS, class_name: str = "safe"
+    ) -> Client:
         """Return an HTTP client that has sent a request and waits for its answer."""
         client = Client(self.dispatcher, self.requests)
         headers = {"Idempotency_Key": key} if key else {}
-        client.post("/safe/k1", id_, int(wait), b"b", **headers)
+        client.post(f"/{class_name}/k1", id_, int(wait), b"b", **headers)
         return client
 
     def submit_job(self) -> str:
--- a/tests/test_durable_requests_clients.py
+++ b/tests/test_durable_requests_clients.py
@@ -189,6 +189,22 @@
     assert successor.begun == ["r1"]
 
 
+def test_unsafe_request_that_waited_at_a_killed_dispatcher_is_not_run_without_its_client(tmp_path):
+    """Regression: it was run, and run again under the fresh id of the client's next try."""
+    fleet = DurableFleet(tmp_path / "custody", ("a", "b"), workers=0, class_index=1)
+    first, successor = fleet.all
+    first.submit(class_name="unsafe")
+    fleet.run(50.0)
+    fleet.kill(first)
+    fleet.run(SETTLED_MS)
+    successor.dispatcher.tell((1, "SERVING"), (2, "SERVING"), snapshot=True)
+    successor.submit("r2", class_name="unsafe")
+    fleet.run_with_workers(DEADLINE_MS)
+    assert successor.begun == ["r2"]
+    assert fleet.find("r1").verdict in UNSERVED
+    fleet.close()
+
+
 def test_end_of_a_request_without_a_client_can_be_requested(fleet):
     first, successor = fleet.all
     submit_and_begin(fleet, first)
--- a/tests/test_durable_requests_model.py
+++ b/tests/test_durable_requests_model.py
@@ -39,7 +39,7 @@
 
 
 @pytest.mark.parametrize(
-    ("slip", "fault"), zip(SLIPS_WITH_PLANS, ("a client that had gone", "has the answers"), strict=True)
+    ("slip", "fault"), list(zip(SLIPS_WITH_PLANS, ("a client that had gone", "has the answers"), strict=True))
 )
 def test_each_seeded_error_of_planned_ends_and_leaving_clients_is_found(slip, fault):
     machine = Machine(slip)
