Remove an unused property and a set-up that stood three times

JobDrain.has_begun had no caller; three tests of test_batch_shutdown.py set up a served job in the same lines; two comments stood on lines of their own after the formatter. No check changed.

--- a/eiderfield/batch/drain.py
+++ b/eiderfield/batch/drain.py
@@ -34,11 +34,6 @@
         self._begun_at, self._fetch_by = now, fetch_by
         return fetch_by - min(FETCH_MARGIN_MS, FETCH_MARGIN_SHARE * (fetch_by - now))
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether the drain has begun."""
-        return self._begun_at < inf
-
     def message_received(self, now: float) -> None:
         """Note that a batch client has sent a message."""
         self._last_message_at = now
--- a/eiderfield/batch/job_table.py
+++ b/eiderfield/batch/job_table.py
@@ -24,9 +24,8 @@
         self._limits = limits
         self._held_bytes = 0
         self._jobs: dict[str, BatchJob] = {}
-        self._unfetched: dict[
-            str, BatchJob
-        ] = {}  # jobs that only this process knows, until a client has their end
+        # Jobs that only this process knows, until a client has their end.
+        self._unfetched: dict[str, BatchJob] = {}
         self._finished: OrderedDict[str, BatchJob] = OrderedDict()  # the oldest first
 
     @property
--- a/eiderfield/durable_requests/incarnations.py
+++ b/eiderfield/durable_requests/incarnations.py
@@ -37,9 +37,7 @@
     started: str  # when its process began, in the kernel's ticks
     boot: str
     offset: float  # Unix time minus its monotonic clock, in ms
-    marks_clients: bool = (
-        True  # whether it marks for which requests its clients wait; earlier revisions do not
-    )
+    marks_clients: bool = True  # for which requests its clients wait; earlier revisions do not
 
     def encode(self) -> str:
         """Return the stored form."""
--- a/tests/test_batch_shutdown.py
+++ b/tests/test_batch_shutdown.py
@@ -33,6 +33,15 @@
     return json.loads(client.bodies[-1])["jobIds"]
 
 
+def submit_and_serve(running, client):
+    """Submit a job whose end nobody has fetched yet, and return its id."""
+    [job_id] = submit(running, client, 1)
+    running.run(50.0)
+    running.worker.serve(job_id)
+    running.run(20.0)
+    return job_id
+
+
 def begin_wait(running, client, job_id):
     running.call(client, "GET", f"/v1/jobs/{job_id}/wait?timeoutMs=60000")
 
@@ -114,10 +123,7 @@
 
 def test_client_that_never_comes_holds_the_process_for_a_bounded_time(running):
     client = batch_client(running)
-    [job_id] = submit(running, client, 1)
-    running.run(50.0)
-    running.worker.serve(job_id)
-    running.run(20.0)
+    submit_and_serve(running, client)
     client.close()
     running.run(2.0 * FETCH_TIME_MS)
     running.program.stop()
@@ -146,10 +152,7 @@
 
 def test_process_whose_ends_are_all_fetched_ends_as_before(running):
     client = batch_client(running)
-    [job_id] = submit(running, client, 1)
-    running.run(50.0)
-    running.worker.serve(job_id)
-    running.run(20.0)
+    job_id = submit_and_serve(running, client)
     begin_wait(running, client, job_id)
     assert last_status(client)["verdict"] == "served"
     client.close()
@@ -160,10 +163,7 @@
 def test_client_that_never_leaves_does_not_hold_the_process_beyond_the_bound(running):
     """It asks again and again, but never for its job."""
     client = batch_client(running)
-    [job_id] = submit(running, client, 1)
-    running.run(50.0)
-    running.worker.serve(job_id)
-    running.run(20.0)
+    submit_and_serve(running, client)
     running.program.stop()
     begun_at = running.now
     while running.now < begun_at + KILL_AFTER_MS and not running.program.ended.is_set():
