Test a batch submission that crosses the planned end of its dispatcher

The hard case "SIGTERM during a submission, all or none" had no test of its own. The submission of three durable jobs is followed by the planned end before and after it is recorded: all are accepted, run once and served, or none runs.

Measured: both cases pass; they found no fault.

--- a/tests/test_durable_requests_leaving.py
+++ b/tests/test_durable_requests_leaving.py
@@ -195,3 +195,29 @@
         fleet.resume(process)
     fleet.run(3.0 * LEASE_MS)
     assert fleet.find(job_id).verdict in (Verdict.FAILED.value, Verdict.DECLINED.value)
+
+
+@pytest.mark.parametrize("is_recorded", [True, False])
+def test_batch_that_is_submitted_as_its_dispatcher_leaves_is_accepted_or_refused_as_a_whole(
+    fleet, is_recorded
+):
+    """A planned end may come before or after the jobs of a submission are recorded."""
+    first = fleet.all[0]
+    client = first.client()
+    client.ask("POST", "/v1/bulk-jobs", {"jobs": [{"jobClass": "safe"}] * 3})
+    if is_recorded:
+        fleet.run(10.0)
+    first.coordinator.leave()
+    fleet.run_with_workers(HANDOVER_MS + BEGIN_MS)
+    for process in fleet.running:
+        process.end_attempts()
+    fleet.run(100.0)
+    [(status, _, body)] = client.answers()
+    assert status in (201, 503)
+    begun = {id_ for process in fleet.all for id_ in process.begun}
+    if status == 503:
+        assert begun == set()
+        return
+    ids = json.loads(body)["jobIds"]
+    assert begun == set(ids)
+    assert {fleet.find(id_).verdict for id_ in ids} == {Verdict.SERVED.value}
