--- a/eiderfield/batch/job_table.py
+++ b/eiderfield/batch/job_table.py
@@ -10,6 +10,7 @@
 from eiderfield.batch.messages import MAX_NAME_LENGTH
 from eiderfield.batch.settings import JobLimits
 from eiderfield.exchange.request import Answer
+from eiderfield.net.memory_budget import MemoryAccount, MemoryBudget, MemoryPart
 
 # What a client cannot tell apart, nor can a process that was restarted.
 UNKNOWN_REASONS = ": it never was, or its end was removed, or the process that accepted it has ended"
@@ -18,8 +19,11 @@
 class JobTable:
     """All batch jobs of this dispatcher. Finished ones are forgotten by age, by count and by memory."""
 
-    def __init__(self, clock: Callable[[], float], limits: JobLimits) -> None:
-        """Create an empty table; `clock` returns the time in ms."""
+    def __init__(
+        self, clock: Callable[[], float], limits: JobLimits, memory: MemoryAccount | None = None
+    ) -> None:
+        """Create an empty table; `clock` returns the time in ms, and `memory` counts the bytes held."""
+        self._memory = memory or MemoryBudget().open_account(MemoryPart.JOBS)
         self._clock = clock
         self._limits = limits
         self._held_bytes = 0
@@ -81,7 +85,7 @@
 
     def add(self, job: BatchJob) -> None:
         """Add an unfinished job."""
-        self._held_bytes += job.body_size
+        self._change_held_bytes(job.body_size)
         self._jobs[job.job_id] = job
         if not job.is_durable:
             self._unfetched[job.job_id] = job
@@ -92,7 +96,7 @@
 
     def finish(self, job: BatchJob, answer: Answer) -> None:
         """Record a job's final answer, call its callbacks, and forget finished jobs over the limits."""
-        self._held_bytes += len(answer.result) - job.body_size
+        self._change_held_bytes(len(answer.result) - job.body_size)
         job.answer = answer
         job.finished_at = self._clock()
         self._finished[job.job_id] = job
@@ -128,4 +132,8 @@
         del self._finished[job.job_id]
         del self._jobs[job.job_id]
         self.mark_fetched(job)
-        self._held_bytes -= len(job.answer.result) if job.answer is not None else 0
+        self._change_held_bytes(-len(job.answer.result) if job.answer is not None else 0)
+
+    def _change_held_bytes(self, change: int) -> None:
+        self._held_bytes += change
+        self._memory.update(self._held_bytes)
--- a/eiderfield/batch/registry.py
+++ b/eiderfield/batch/registry.py
@@ -22,6 +22,7 @@
 from eiderfield.batch.submission import JobSubmission
 from eiderfield.exchange.exchange import Exchange
 from eiderfield.exchange.request import Answer, RequestState, Verdict
+from eiderfield.net.memory_budget import MemoryAccount
 
 
 class JobRegistry:
@@ -34,10 +35,14 @@
         dispatcher_name: str,
         limits: JobLimits,
         durable: DurableJobs | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
-        """Create a registry without jobs; `durable` is the store for durable classes, if there is one."""
+        """Create a registry without jobs.
+
+        `durable` is the store for durable classes, if there is one; `memory` counts the bytes held.
+        """
         self._exchange = exchange
-        self.table = JobTable(clock, limits)
+        self.table = JobTable(clock, limits, memory)
         self.submission = JobSubmission(exchange, clock, dispatcher_name, self.table, durable)
 
     def is_durable_and_unfinished(self, job_id: str) -> bool:
--- a/eiderfield/connections/admission.py
+++ b/eiderfield/connections/admission.py
@@ -47,6 +47,7 @@
     ADDRESS_SHARE = "crowded_share"
     SLOW_HEAD = "slow_head"
     SLOW_BODY = "slow_body"
+    EVICTED = "evicted"  # closed for a new connection
 
 
 class ConnectionKind(Enum):
@@ -191,10 +192,9 @@
             expires_at = min(expires_at, head_at + timeouts.body_grace + earned_time)
         return Limit(expires_at, Reason.SLOW_BODY)
 
-    def count_slow_message(self, limit: Limit) -> None:
-        """Count a message that exceeded a time limit."""
-        if limit.reason is not None:
-            self.counts[limit.reason.value] += 1
+    def count(self, reason: Reason) -> None:
+        """Count a connection that is cut off."""
+        self.counts[reason.value] += 1
 
     # Operation.
 
--- a/eiderfield/net/clients/__init__.py
+++ b/eiderfield/net/clients/__init__.py
@@ -14,6 +14,8 @@
 | `connection_table` | open connections, and the order in which they may be evicted |
 | `connection` | one client's connection, and its states |
 | `parking` | the parked connections of a listener, and their handover to the next process |
+| `cut_off_log` | the log of connections that are cut off |
+| `turn_figures` | the largest amounts of work in a turn |
 | `acceptor` | a listening socket and the loop that accepts from it |
 | `listener` | the connections of a listening socket, their capacity and admission |
 
--- a/eiderfield/net/clients/connection.py
+++ b/eiderfield/net/clients/connection.py
@@ -26,7 +26,7 @@
 from functools import partial
 from typing import Protocol
 
-from eiderfield.connections.admission import Rejection
+from eiderfield.connections.admission import Reason, Rejection
 from eiderfield.connections.idle_connections import unread_bytes, unsent_bytes
 from eiderfield.net.clients.connection_admission import ConnectionAdmission
 from eiderfield.net.clients.connection_table import ConnectionTable
@@ -35,8 +35,10 @@
 from eiderfield.net.clients.flow_control import FlowControl
 from eiderfield.net.clients.front import ClientDisconnectCallback, Front, ListenerStatus
 from eiderfield.net.clients.message_reader import MessageReader
+from eiderfield.net.clients.turn_figures import TurnFigures
 from eiderfield.net.departures import DepartureWatch, has_peer_closed
 from eiderfield.net.http import Head, MalformedMessageError, response_bytes
+from eiderfield.net.memory_budget import MemoryBudget, MemoryPart
 
 LINGER_TIME_MS = 1000.0  # time for which input is discarded, so that the last response arrives
 MAX_DISCARDED_BYTES = 262_144  # meanwhile; more input stays unread, since 60 MB of it used a CPU core
@@ -75,6 +77,14 @@
     def departures(self) -> DepartureWatch | None:
         """Watches connections that are not read; None before the listener is open."""
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """Counts the bytes that the connection holds."""
+
+    @property
+    def turns(self) -> TurnFigures:
+        """Records the work of each turn."""
+
     @property
     def keep_alive_disabled(self) -> bool:
         """Whether each response closes its connection."""
@@ -92,6 +102,9 @@
     def hand_over(self, connection: ClientConnection) -> bool:
         """Pass a connection to the next process; return whether it was possible."""
 
+    def report_cut_off(self, connection: ClientConnection, reason: Reason) -> None:
+        """Count and log a connection that this process ends for a reason of its own."""
+
     def count_disconnect(self) -> None:
         """Count a client that disconnected before its response."""
 
@@ -142,6 +155,8 @@
         self._reading_messages = False
         self._throttled = False  # whether no messages are handled for now
         self._discarded_bytes = 0
+        self._memory = listener.memory.open_account(MemoryPart.CLIENTS)
+        self._request_bytes = 0  # memory of the request that was passed to the front
         # Whether any response was written; after a handover one may have been written before.
         self._response_written = handover is not None
         self._timer.restart(self.proven, self._idle_since, self._idle_since)
@@ -177,6 +192,7 @@
             self._read_messages()
         elif self._reader.buffered > MAX_PIPELINED_BYTES:
             self._flow.pause()
+        self.update_held_bytes()
 
     def eof_received(self) -> bool:
         """Treat a half-close by the client as a disconnection."""
@@ -227,6 +243,8 @@
         )
         self._transport.write(response_bytes(status, body, keep_alive, **headers))
         self._response_written = True
+        self._request_bytes = 0
+        self.update_held_bytes()
         if not keep_alive:
             self._start_lingering()
             return
@@ -275,6 +293,30 @@
         slow = not self.proven and self.listener.clock() >= self._reader.last_byte_at + EVICTION_GRACE_MS
         return slow and not self._has_unread_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """About how many bytes of memory the connection holds: received, requested, not yet sent."""
+        unsent = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        return self._reader.held_bytes + self._request_bytes + unsent
+
+    @property
+    def silent_ms(self) -> float:
+        """Time since the last byte arrived, in ms."""
+        return self.listener.clock() - self._reader.last_byte_at
+
+    @property
+    def client_address(self) -> str:
+        """The client's address, empty if it is not known any more."""
+        if self._sock is None:
+            return ""
+        with suppress(OSError):
+            return str(self._sock.getpeername()[0])
+        return ""
+
+    def update_held_bytes(self) -> None:
+        """Report to the memory budget how many bytes the connection holds now."""
+        self._memory.update(0 if self.phase == Phase.CLOSED else self.held_bytes)
+
     @property
     def _has_unread_bytes(self) -> bool:
         return self._sock is not None and unread_bytes(self._sock.fileno()) > 0
@@ -344,6 +386,7 @@
         self._timer.cancel()
         self.admission.end_message()
         self._flow.close()
+        self.update_held_bytes()
         self.listener.remove(self)
 
     def _start_lingering(self) -> None:
@@ -388,8 +431,8 @@
         if limit.at > self.listener.clock():  # the limit has moved, since the body arrives fast enough
             self._timer.call_at(limit.at, self.time_limit_reached)
             return
-        if self.listener.admission is not None:
-            self.listener.admission.count_slow_message(limit)
+        if limit.reason is not None:
+            self.listener.report_cut_off(self, limit.reason)
         self._reject_message(MalformedMessageError("the message took too long", REQUEST_TIMEOUT))
 
     def _end_idle_time(self) -> None:
@@ -408,6 +451,7 @@
         if self._reading_messages or self.phase != Phase.READING or self._throttled:
             return
         self._reading_messages = True
+        handled, began_at, elements_before = 0, self.listener.clock(), self._reader.elements
         try:
             handled = self._handle_messages()
         except MalformedMessageError as error:
@@ -415,6 +459,8 @@
             return
         finally:
             self._reading_messages = False
+            elements = self._reader.elements - elements_before
+            self.listener.turns.record(handled, elements, self.listener.clock() - began_at)
         if self.phase != Phase.READING:
             return
         if handled == MESSAGES_PER_TURN:  # the other connections are handled first
@@ -449,6 +495,7 @@
         self._keep_alive = head.keep_alive
         try:
             body = bytes(self._reader.body)
+            self._request_bytes = len(body) + head.memory_bytes
             on_disconnect = self.listener.front.handle_message(self.listener, self, head, body)
         except MalformedMessageError:
             raise
--- a/eiderfield/net/clients/connection_table.py
+++ b/eiderfield/net/clients/connection_table.py
@@ -17,9 +17,6 @@
     def evictable(self) -> bool:
         """Whether it may be closed for another now."""
 
-    def abort(self) -> None:
-        """Close the connection at once."""
-
 
 ConnectionT = TypeVar("ConnectionT", bound=EvictableConnection)
 
@@ -80,18 +77,17 @@
         self._idle.pop(connection, None)
         (self._idle if proven else self._unproven)[connection] = None
 
-    def evict_unproven(self) -> bool:
-        """Close the first unproven connection that may be evicted; return whether there was one."""
-        return _evict_first(self._unproven)
+    def first_unproven(self) -> ConnectionT | None:
+        """Return the first unproven connection that may be evicted, None if there is none."""
+        return _first_evictable(self._unproven)
 
-    def evict_idle(self) -> bool:
-        """Close the first idle connection that may be evicted; return whether there was one."""
-        return _evict_first(self._idle)
+    def first_idle(self) -> ConnectionT | None:
+        """Return the first idle connection that may be evicted, None if there is none."""
+        return _first_evictable(self._idle)
 
 
-def _evict_first(candidates: OrderedDict[ConnectionT, None]) -> bool:
+def _first_evictable(candidates: OrderedDict[ConnectionT, None]) -> ConnectionT | None:
     for connection in islice(candidates, EVICTION_CANDIDATES):
         if connection.evictable:
-            connection.abort()
-            return True
-    return False
+            return connection
+    return None
--- a/eiderfield/net/clients/listener.py
+++ b/eiderfield/net/clients/listener.py
@@ -14,16 +14,25 @@
 from contextlib import suppress
 from math import inf
 
-from eiderfield.connections.admission import EVICTION_ORDER, AdmissionControl, ConnectionKind, Rejection
+from eiderfield.connections.admission import (
+    EVICTION_ORDER,
+    AdmissionControl,
+    ConnectionKind,
+    Reason,
+    Rejection,
+)
 from eiderfield.connections.settings import MESSAGE_TIMEOUT_MS, AdmissionSettings, IdleSettings
 from eiderfield.exchange.timers import Timers
 from eiderfield.net.clients.acceptor import ACCEPTED_PER_TURN, Acceptor, open_socket
 from eiderfield.net.clients.connection import ClientConnection
 from eiderfield.net.clients.connection_table import ConnectionTable
+from eiderfield.net.clients.cut_off_log import CutOff, CutOffLog
 from eiderfield.net.clients.detached import ConnectionHandover, Detach
 from eiderfield.net.clients.front import Front
 from eiderfield.net.clients.parking import ConnectionParking
+from eiderfield.net.clients.turn_figures import TurnFigures
 from eiderfield.net.departures import DepartureWatch
+from eiderfield.net.memory_budget import MemoryBudget
 
 USAGE_INTERVAL_MS = 100.0  # ms between two measurements of memory
 MAX_PENDING_REJECTIONS = 64  # connections that are being answered 503; more are closed without a response
@@ -41,6 +50,8 @@
         idle_settings: how long connections may idle.
         admission: decides which connections are admitted; None admits all.
         memory_usage: gives the share of the process's memory that is in use, from 0 to 1.
+        memory: counts the bytes that connections hold, against the limit of the process.
+        turns: the largest amounts of work that one connection was given in a turn.
         open_connections: the connections that are not parked.
         parking: parks idle connections.
         acceptor: accepts on the socket.
@@ -62,6 +73,7 @@
         idle_settings: IdleSettings | None = None,
         admission: AdmissionControl | None = None,
         memory_usage: Callable[[], float] = lambda: 0.0,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create a listener that is not open."""
         self.front = front
@@ -83,6 +95,9 @@
         self._discarded_input_count = 0  # connections with input discarded after the last response
         self._disconnect_count = 0  # clients that disconnected before their response
         self.memory_usage = memory_usage
+        self.memory = memory or MemoryBudget()
+        self.turns = TurnFigures()
+        self._cut_off_log: CutOffLog | None = None
         self._usage_updated_at = -inf
         self._pending_rejections = 0  # connections that are being answered 503
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -259,6 +274,18 @@
         if self._loop is not None:
             self._loop.call_exception_handler({"message": "a front failed", "exception": error})
 
+    def log_cut_offs(self, log: Callable[[str], None]) -> None:
+        """Log the connections that are cut off from now on."""
+        self._cut_off_log = CutOffLog(log, self.clock)
+
+    def report_cut_off(self, connection: ClientConnection, reason: Reason) -> None:
+        """Count and log a connection that this process ends for a reason of its own."""
+        if self.admission is not None:
+            self.admission.count(reason)
+        if self._cut_off_log is not None:
+            address, held = connection.client_address, connection.held_bytes
+            self._cut_off_log.write(CutOff(reason.value, address, held, connection.silent_ms))
+
     def count_disconnect(self) -> None:
         """Count a client that disconnected before its response."""
         self._disconnect_count += 1
@@ -301,13 +328,21 @@
         if not self.full:
             return True
         evict: dict[ConnectionKind, Callable[[], bool]] = {
-            ConnectionKind.UNPROVEN: self.open_connections.evict_unproven,
+            ConnectionKind.UNPROVEN: lambda: self._evict(self.open_connections.first_unproven()),
             ConnectionKind.PARKED: self.parking.evict_one,
-            ConnectionKind.IDLE: self.open_connections.evict_idle,
+            ConnectionKind.IDLE: lambda: self._evict(self.open_connections.first_idle()),
         }
         evicted = any(evict[kind]() for kind in EVICTION_ORDER)
         return evicted and not self.full
 
+    def _evict(self, connection: ClientConnection | None) -> bool:
+        """Close a connection for a new one; return whether there was one."""
+        if connection is None:
+            return False
+        self.report_cut_off(connection, Reason.EVICTED)
+        connection.abort()
+        return True
+
     def _update_usage(self, open_count: int) -> None:
         """Report the usage to admission control; it may change the idle timeout of parked connections."""
         assert self.admission is not None
--- a/eiderfield/net/clients/message_reader.py
+++ b/eiderfield/net/clients/message_reader.py
@@ -16,6 +16,7 @@
         self.head: Head | None = None  # of a message whose body is incomplete
         self.head_at = opened_at  # when that head was complete
         self.last_byte_at = opened_at
+        self._head_bytes = 0  # memory that `head` takes
         self.expects_continue = False  # whether the client waits for an interim response to `head`
         self._clock = clock
         self.body = bytearray()  # of the message that is arriving, or of the one returned last
@@ -29,6 +30,17 @@
         """Bytes that have arrived and are not parsed."""
         return self._parser.buffered
 
+    @property
+    def elements(self) -> int:
+        """Heads, chunks and lines parsed so far."""
+        return self._parser.elements
+
+    @property
+    def held_bytes(self) -> int:
+        """About how many bytes of memory the message that is arriving takes, unparsed bytes included."""
+        head_bytes = 0 if self.head is None else self._head_bytes
+        return self._parser.buffered + len(self.body) + head_bytes
+
     @property
     def in_message(self) -> bool:
         """Whether a part of a message has arrived."""
@@ -58,6 +70,7 @@
             if isinstance(part, Head):
                 self.head = part
                 self.head_at = self._clock()
+                self._head_bytes = part.memory_bytes
                 self.body.clear()
                 if part.get("expect").lower() == "100-continue":
                     self.expects_continue = True
--- a/eiderfield/net/http/message.py
+++ b/eiderfield/net/http/message.py
@@ -21,6 +21,9 @@
         self.status = status
 
 
+HEADER_OVERHEAD_BYTES = 200  # of the two texts of a header and its place in the table
+
+
 @dataclass(slots=True)
 class Head:
     """A start line and headers.
@@ -43,6 +46,12 @@
         """Return a header's value, an empty text if there is none."""
         return self.headers.get(name, "")
 
+    @property
+    def memory_bytes(self) -> int:
+        """About how many bytes of memory the head takes."""
+        texts = len(self.target) + sum([len(name) + len(value) for name, value in self.headers.items()])
+        return texts + HEADER_OVERHEAD_BYTES * (1 + len(self.headers))
+
     @property
     def keep_alive(self) -> bool:
         """Whether the sender keeps the connection open after this message."""
--- a/eiderfield/net/http/parser.py
+++ b/eiderfield/net/http/parser.py
@@ -55,6 +55,7 @@
         self._remaining_bytes = 0  # bytes of the body or of the chunk that are not yet received
         self._body_bytes = 0  # bytes of the body, including announced ones
         self._trailer_bytes = 0
+        self.elements = 0  # heads, chunks and lines parsed so far
 
     @property
     def buffered(self) -> int:
@@ -110,6 +111,7 @@
             return None
         text = self._buffer[:end].decode("latin-1")
         del self._buffer[: end + 4]
+        self.elements += 1
         head = parse_head(text, self._is_response)
         framing = framing_of(head, self._is_response)
         self._body_bytes = 0
@@ -158,6 +160,7 @@
             raise MalformedMessageError("a line ends without a carriage return")
         line = bytes(self._buffer[: end - 1])
         del self._buffer[: end + 1]
+        self.elements += 1
         return line
 
     def _start_chunk(self, line: bytes) -> None:
--- a/eiderfield/net/worker_connection.py
+++ b/eiderfield/net/worker_connection.py
@@ -32,6 +32,7 @@
 from eiderfield.net.dialing import Dial, PendingDial
 from eiderfield.net.faults import Cause, classify_loss
 from eiderfield.net.http import End, Head
+from eiderfield.net.memory_budget import MemoryBudget, MemoryPart
 from eiderfield.net.worker_calls import CallReporter
 from eiderfield.net.worker_messages import (
     AttemptStatus,
@@ -71,12 +72,14 @@
         timers: Schedules the time limits of connections.
         clock: Returns the current time, in ms.
         read_count: How many times any connection has received bytes.
+        memory: Counts the bytes that connections hold.
     """
 
     calls: CallReporter
     timers: Timers
     clock: Callable[[], float]
     read_count: int
+    memory: MemoryBudget
 
     def received_from_others(self, worker: int, since: int) -> bool:
         """Return whether a connection to another worker has received bytes since `read_count` was `since`."""
@@ -104,6 +107,7 @@
         self._calls = owner.calls
         self._worker_reports = owner.calls.exchange.worker_reports
         self._reader = ResponseReader()
+        self._memory = owner.memory.open_account(MemoryPart.WORKERS)
         self._transport: asyncio.Transport | None = None
         self._pending_dial: PendingDial | None = None
         self._timer: Timer | None = None
@@ -140,6 +144,7 @@
             return
         self._reader.feed(_READ_BUFFER[:nbytes])
         self._process_received_bytes()
+        self._update_held_bytes()
 
     def eof_received(self) -> bool:
         """Close an idle connection that the worker has shut down for sending.
@@ -167,6 +172,7 @@
     def resume_writing(self) -> None:
         """Record that every written byte has left the process."""
         self._flushed = True
+        self._update_held_bytes()
         if isinstance(self.call, Attempt) and self.state == ConnectionState.BUSY:
             self._worker_reports.request_written(self.call)
 
@@ -193,6 +199,7 @@
         self._reader.start(call.pending.request.id if isinstance(call, Attempt) else None)
         self._flushed = True
         transport.write(self._calls.request_for(call))
+        self._update_held_bytes()
         if transport.is_closing():  # the write failed: not every byte of the request has been sent
             self._flushed = False
         elif self._flushed and isinstance(call, Attempt):
@@ -215,6 +222,14 @@
             self._transport.abort()
         elif self._pending_dial is not None:
             self._pending_dial.cancel()
+        self._update_held_bytes()
+
+    def _update_held_bytes(self) -> None:
+        """Report to the memory budget how many bytes the connection holds now."""
+        if self.state == ConnectionState.CLOSED or self._transport is None:
+            self._memory.update(0)
+        else:
+            self._memory.update(self._reader.held_bytes + self._transport.get_write_buffer_size())
 
     # Time limits.
 
--- a/eiderfield/net/worker_pool.py
+++ b/eiderfield/net/worker_pool.py
@@ -19,6 +19,7 @@
 from eiderfield.exchange.timers import Timers
 from eiderfield.interface import Outcome
 from eiderfield.net.dialing import Dial
+from eiderfield.net.memory_budget import MemoryBudget
 from eiderfield.net.worker_calls import CallReporter
 from eiderfield.net.worker_connection import ConnectionState, WorkerConnection
 from eiderfield.net.worker_idle import IdleWorkerConnections
@@ -37,6 +38,7 @@
         dial_timeout: float,
         idle_timeout: float,
         max_connections: int,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create an empty pool and attach it to `exchange`.
 
@@ -48,10 +50,12 @@
             dial_timeout: The time limit of a dial, in ms.
             idle_timeout: The time after which workers close an idle connection, in ms.
             max_connections: The limit on the number of connections.
+            memory: Counts the bytes that connections hold.
         """
         self.calls = CallReporter(exchange, clock)
         self.timers = timers
         self.clock = clock
+        self.memory = memory or MemoryBudget()
         self.read_count = 0  # how many times any connection has received bytes
         self._dial = dial
         self._dial_timeout = dial_timeout
--- a/eiderfield/net/worker_response.py
+++ b/eiderfield/net/worker_response.py
@@ -37,6 +37,11 @@
         """Whether no byte of the current response has been received, apart from interim responses."""
         return self.head is None and not self._parser.buffered
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes of the current response that are held."""
+        return self._parser.buffered + len(self._line) + len(self.body)
+
     @property
     def is_connection_reusable(self) -> bool:
         """Whether the response is complete, no byte follows it, and the worker keeps the connection open."""
--- a/eiderfield/program/core.py
+++ b/eiderfield/program/core.py
@@ -15,9 +15,10 @@
 from eiderfield.net.discovery.routing_table import RoutingTable
 from eiderfield.net.file_operations import OperationRunner
 from eiderfield.net.loop import Driver
+from eiderfield.net.memory_budget import MemoryBudget
 from eiderfield.net.worker_pool import WorkerPool
 from eiderfield.program.log import log
-from eiderfield.program.part import Part
+from eiderfield.program.part import Figures, Part
 from eiderfield.program.paths import state_path
 
 
@@ -31,6 +32,7 @@
     workers: WorkerPool
     table: RoutingTable
     wall: WallClock
+    memory: MemoryBudget
 
     @property
     def clock(self) -> Callable[[], float]:
@@ -47,6 +49,7 @@
     exchange = Exchange(config.policy_settings, config.seed, driver.wheel, driver.wake, log)
     driver.turn = exchange.turn
     driver.on_pause = exchange.process_resumed
+    memory = MemoryBudget()
     workers = WorkerPool(
         exchange,
         driver.wheel,
@@ -55,13 +58,14 @@
         config.dial_timeout_ms,
         config.worker_idle_timeout_ms,
         limits.workers,
+        memory,
     )
     path = state_path(config.listen, "bans.json")
     bans = Bans(path, log, driver.wheel, driver.clock, run_in_thread, wall)
     bans.load()
     table = RoutingTable(exchange, workers, ids, bans, driver.clock, wall)
     _load_known(config, table)
-    return Core(driver, ids, exchange, workers, table, wall)
+    return Core(driver, ids, exchange, workers, table, wall, memory)
 
 
 def _load_known(config: Config, table: RoutingTable) -> None:
@@ -90,6 +94,10 @@
             self._core.exchange.apply_settings(new.policy_settings)
         self._core.workers.set_timeouts(new.dial_timeout_ms, new.worker_idle_timeout_ms)
 
+    def figures(self) -> Figures:
+        """Return how many bytes peers make the process hold, by part."""
+        return {"memory": self._core.memory.figures()}
+
     @property
     def busy(self) -> bool:
         """Whether a request has no answer yet."""
--- a/eiderfield/program/listeners.py
+++ b/eiderfield/program/listeners.py
@@ -49,7 +49,9 @@
         config.idling,
         AdmissionControl(config.admission, connections),
         memory_share_of(config.memory_mb),
+        core.memory,
     )
+    listener.log_cut_offs(log)
     listener.parking.log = log
     return listener
 
@@ -126,14 +128,18 @@
         return any(listener.connections for listener in self.listeners)
 
     def figures(self) -> Figures:
-        """Return the figures of connections and admission, summed over the listeners."""
+        """Return the figures of connections and admission, summed over the listeners, and of their turns."""
         connections: Counter[str] = Counter()
         admission: Counter[str] = Counter()
         for listener in self.listeners:
             connections.update(listener.figures())
             if listener.admission is not None:
                 admission.update(listener.admission.figures())
-        return {"connections": dict(connections), "admission": dict(admission)}
+        return {
+            "connections": dict(connections),
+            "admission": dict(admission),
+            "turns": {bound.kind: bound.listener.turns.figures() for bound in self._bound},
+        }
 
 
 class ConsolePart(Part):
--- a/eiderfield/program/program.py
+++ b/eiderfield/program/program.py
@@ -18,6 +18,7 @@
 from eiderfield.net.file_operations import thread_runner
 from eiderfield.net.handover import Handover, HandoverContext
 from eiderfield.net.loop import Driver
+from eiderfield.net.memory_budget import MemoryPart
 from eiderfield.program.batch import BatchJobs
 from eiderfield.program.core import Core, CorePart, make_core
 from eiderfield.program.discovery import DiscoveryPart
@@ -149,7 +150,8 @@
     front = RequestFront(core.exchange, core.ids, core.clock, intake)
     bound = [BoundListener("listen", make_client_listener(config, core, front, share), config.listen)]
     if (batch := config.batch) is not None:
-        registry = JobRegistry(core.exchange, core.clock, config.name, batch.limits, intake)
+        account = core.memory.open_account(MemoryPart.JOBS)
+        registry = JobRegistry(core.exchange, core.clock, config.name, batch.limits, intake, account)
         batch_front = BatchFront(registry, lookup, core.wall.to_unix)
         listener = make_client_listener(config, core, batch_front, share)
         bound.append(BoundListener("batch.listen", listener, batch.listen))
