Give back a client's bytes when its message is complete, cut off or its connection over

Cause: a body was held twice while its request waited (by the reader, and by the request); a connection that was cut off kept its message for the second in which it lingers; and a closed connection was part of a reference cycle by the callbacks of its timer and its flow control, so that its bytes stayed until the garbage collector came by, which counts objects and not bytes. Ruled out: the parser's buffer, which is given back as it is read.

The reader passes its body on, lingering and closed connections drop their reader's bytes, and closing removes the callbacks. Three tests failed before and pass now (request held twice, lingering, freed without collection).

--- a/eiderfield/net/clients/connection.py
+++ b/eiderfield/net/clients/connection.py
@@ -202,6 +202,7 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Cancel the open request of this connection."""
         if self.phase == Phase.CLOSED:
+            self._transport = None
             return
         self._release()
         on_disconnect, self._on_disconnect = self._on_disconnect, None
@@ -383,9 +384,10 @@
 
     def _release(self) -> None:
         self.phase = Phase.CLOSED
-        self._timer.cancel()
+        self._timer.close()
         self.admission.end_message()
         self._flow.close()
+        self._reader.clear()
         self.update_held_bytes()
         self.listener.remove(self)
 
@@ -395,6 +397,8 @@
         now = self.listener.clock()
         self._timer.started_at = now
         self.admission.end_message()
+        self._reader.clear()
+        self.update_held_bytes()
         self.listener.open_connections.mark_idle(self, proven=False)
         if self._transport is not None and not self._transport.is_closing():
             with suppress(OSError):
@@ -494,8 +498,8 @@
         self.phase = Phase.WAITING
         self._keep_alive = head.keep_alive
         try:
-            body = bytes(self._reader.body)
-            self._request_bytes = len(body) + head.memory_bytes
+            body = self._reader.take_body()
+            self._request_bytes = len(body) + len(head.target)
             on_disconnect = self.listener.front.handle_message(self.listener, self, head, body)
         except MalformedMessageError:
             raise
--- a/eiderfield/net/clients/connection_timer.py
+++ b/eiderfield/net/clients/connection_timer.py
@@ -75,15 +75,24 @@
             return Limit(self.started_at + self._settings.message_timeout)
         if self._reader.head is None:
             return admission.head_limit(self.started_at)
-        return admission.body_limit(self.started_at, self._reader.head_at, len(self._reader.body))
+        return admission.body_limit(self.started_at, self._reader.head_at, self._reader.received_body_bytes)
 
     def call_at(self, when: float, callback: Callable[[], None]) -> None:
         """Replace the time limit by a call at `when`, in ms."""
         self.cancel()
         self._timer = self._settings.timers.call_at(when, callback)
 
+    def close(self) -> None:
+        """Remove the time limit and the callback, so that no reference to the connection remains."""
+        self.cancel()
+        self._on_expiry = _ignore
+
     def cancel(self) -> None:
         """Remove the time limit."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/eiderfield/net/clients/flow_control.py
+++ b/eiderfield/net/clients/flow_control.py
@@ -59,9 +59,14 @@
         """Stop watching: the connection is closed."""
         self._closed = True
         self._stop_watching()
+        self._on_disconnect = _ignore  # so that no reference to the connection remains
 
     def _stop_watching(self) -> None:
         if self._departures is None or self._sock is None:
             return
         if (fd := self._sock.fileno()) >= 0:
             self._departures.forget(fd)
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/eiderfield/net/clients/message_reader.py
+++ b/eiderfield/net/clients/message_reader.py
@@ -19,7 +19,7 @@
         self._head_bytes = 0  # memory that `head` takes
         self.expects_continue = False  # whether the client waits for an interim response to `head`
         self._clock = clock
-        self.body = bytearray()  # of the message that is arriving, or of the one returned last
+        self._body = bytearray()  # of the message that is arriving, or of the one returned last
         self._parser = Parser()
         self._arrivals = ArrivalTimes()
         if unparsed is not None:
@@ -39,7 +39,12 @@
     def held_bytes(self) -> int:
         """About how many bytes of memory the message that is arriving takes, unparsed bytes included."""
         head_bytes = 0 if self.head is None else self._head_bytes
-        return self._parser.buffered + len(self.body) + head_bytes
+        return self._parser.buffered + len(self._body) + head_bytes
+
+    @property
+    def received_body_bytes(self) -> int:
+        """Bytes of the body of the message that is arriving."""
+        return len(self._body)
 
     @property
     def in_message(self) -> bool:
@@ -58,7 +63,7 @@
         self._parser.feed(data)
 
     def next_message(self) -> Head | None:
-        """Return the head of the next complete message; its body is in `body` until the next call.
+        """Return the head of the next complete message; `take_body` returns its body until the next call.
 
         Returns:
             None where no message is complete, and once when `expects_continue` becomes set.
@@ -71,17 +76,28 @@
                 self.head = part
                 self.head_at = self._clock()
                 self._head_bytes = part.memory_bytes
-                self.body.clear()
+                self._body.clear()
                 if part.get("expect").lower() == "100-continue":
                     self.expects_continue = True
                     return None
             elif isinstance(part, bytes):
-                self.body += part
+                self._body += part
             elif self.head is not None:
                 head, self.head = self.head, None
                 return head
         return None
 
+    def take_body(self) -> bytes:
+        """Return the body of the message that `next_message` returned, and hold it no longer."""
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
+    def clear(self) -> None:
+        """Give back the memory of all bytes: none of them will be read."""
+        self.head = None
+        self._body = bytearray()
+        self._parser = Parser()
+
     def first_byte_at(self) -> float:
         """Return when the first unparsed byte arrived, maybe before the last response; now if none."""
         return self._arrivals.first_at(self._parser.buffered, self._clock())
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -1,10 +1,18 @@
 """The bytes that connections make the process hold are counted by part until they are given back."""
 
+import gc
+import weakref
+
 from support.memory_dispatcher import Client, InMemoryDispatcher
+from support.real_sockets import ListenerHarness, SocketClient
 
 from eiderfield.connections.admission import Reason
+from eiderfield.connections.settings import MESSAGE_TIMEOUT_MS
+from eiderfield.net.clients import Phase
+from eiderfield.net.clients.connection import LINGER_TIME_MS
 from eiderfield.net.clients.cut_off_log import INTERVAL_MS, MAX_LINES, CutOff, CutOffLog
 from eiderfield.net.memory_budget import MemoryBudget, MemoryPart
+from eiderfield.net.wheel import TICK_MS
 
 BODY = b"x" * 30_000
 
@@ -19,7 +27,7 @@
     client.send(b"POST /safe/a HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 30000\r\n\r\n" + BODY[:-1])
     assert len(BODY) <= client_bytes(dispatcher) < 2 * len(BODY)
     client.send(BODY[-1:])
-    assert len(BODY) <= client_bytes(dispatcher) < 3 * len(BODY), "the request waits for its response"
+    assert len(BODY) <= client_bytes(dispatcher) < 2 * len(BODY), "the request waits for its response"
     dispatcher.dials[0].up().finish()
     assert client.answers()[0][0] == 200
     client.pipe.break_off()
@@ -82,3 +90,30 @@
     now[0] += INTERVAL_MS
     log.write(CutOff("slow_head", "127.0.0.1", 10, 20.0))
     assert lines[-1].endswith(f"not_logged={2 * MAX_LINES})")
+
+
+# Regression: a closed connection and its bytes stayed until the garbage collector found the cycle.
+def test_connection_that_is_cut_off_is_freed_without_garbage_collection():
+    harness = ListenerHarness()
+    client = SocketClient(harness).send(b"POST /safe/a HTTP/1.1\r\n")
+    harness.turn()
+    connection = weakref.ref(next(iter(harness.listener.open_connections)))
+    gc.disable()
+    try:
+        harness.pass_time(MESSAGE_TIMEOUT_MS + 2 * LINGER_TIME_MS)
+        assert client.statuses() == [408]
+        assert connection() is None
+    finally:
+        gc.enable()
+    harness.close()
+
+
+# Regression: a connection that was cut off kept the bytes of its message until the end of lingering.
+def test_lingering_connection_holds_no_bytes_of_its_message():
+    dispatcher = InMemoryDispatcher()
+    client = Client(dispatcher)
+    client.send(b"POST /safe/a HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 30000\r\n\r\n" + BODY[:-1])
+    dispatcher.advance(MESSAGE_TIMEOUT_MS + 2 * TICK_MS)
+    assert client.answers()[0][0] == 408
+    assert client.connection.phase is Phase.LINGERING
+    assert client_bytes(dispatcher) == 0
