Bound the bytes that all connections together make the process hold

Cause: each connection had its bounds, but nothing bound their sum; limits.memory_mb only made new connections wait. Class of fault: a limit per peer without one for all peers.

A budget for the process follows from limits.memory_mb, the resident memory at the start and the connections it may have. When it is exceeded, incomplete messages are refused with 503, the one with most bytes x silence first; then responses that nobody reads are given up; then bytes sent ahead of a response are dropped. Complete requests are never ended; large ones are refused before they are passed on where there is no room. Related paths: worker responses wait unread, batch jobs may take half and count 1 KB each, one read takes at most 16 KB of later messages, and the two processes of an upgrade use half of the budget each.

--- a/eiderfield/batch/job_table.py
+++ b/eiderfield/batch/job_table.py
@@ -12,6 +12,8 @@
 from eiderfield.exchange.request import Answer
 from eiderfield.net.memory_budget import MemoryAccount, MemoryBudget, MemoryPart
 
+JOB_ENTRY_BYTES = 1024  # of a job without its body and its result
+
 # What a client cannot tell apart, nor can a process that was restarted.
 UNKNOWN_REASONS = ": it never was, or its end was removed, or the process that accepted it has ended"
 
@@ -85,8 +87,8 @@
 
     def add(self, job: BatchJob) -> None:
         """Add an unfinished job."""
-        self._change_held_bytes(job.body_size)
         self._jobs[job.job_id] = job
+        self._change_held_bytes(job.body_size)
         if not job.is_durable:
             self._unfetched[job.job_id] = job
 
@@ -113,7 +115,7 @@
 
     def free_memory(self, size: int) -> bool:
         """Forget finished jobs until `size` more bytes fit; return whether they do."""
-        while self._held_bytes + size > self._limits.max_bytes:
+        while self._held_bytes + size > self._limits.max_bytes or not self._memory.has_room_for_jobs(size):
             if not self._finished:
                 return False
             self._forget(next(iter(self._finished.values())))
@@ -136,4 +138,4 @@
 
     def _change_held_bytes(self, change: int) -> None:
         self._held_bytes += change
-        self._memory.update(self._held_bytes)
+        self._memory.update(self._held_bytes + JOB_ENTRY_BYTES * len(self._jobs))
--- a/eiderfield/connections/admission.py
+++ b/eiderfield/connections/admission.py
@@ -48,6 +48,9 @@
     SLOW_HEAD = "slow_head"
     SLOW_BODY = "slow_body"
     EVICTED = "evicted"  # closed for a new connection
+    MEMORY_MESSAGE = "memory_message"  # an incomplete message was ended, since memory is scarce
+    MEMORY_REQUEST = "memory_request"  # a request was refused, since memory is scarce
+    MEMORY_RESPONSE = "memory_response"  # a client did not read its response while memory was scarce
 
 
 class ConnectionKind(Enum):
--- a/eiderfield/net/clients/__init__.py
+++ b/eiderfield/net/clients/__init__.py
@@ -16,6 +16,7 @@
 | `parking` | the parked connections of a listener, and their handover to the next process |
 | `cut_off_log` | the log of connections that are cut off |
 | `turn_figures` | the largest amounts of work in a turn |
+| `memory_relief` | gives back bytes of connections while memory is scarce |
 | `acceptor` | a listening socket and the loop that accepts from it |
 | `listener` | the connections of a listening socket, their capacity and admission |
 
@@ -26,6 +27,7 @@
 from eiderfield.net.clients.detached import ConnectionHandover, Detach, DetachedConnection
 from eiderfield.net.clients.front import ClientDisconnectCallback, Front, ListenerStatus, Responder
 from eiderfield.net.clients.listener import Listener
+from eiderfield.net.clients.memory_relief import MemoryRelief
 from eiderfield.net.clients.request_front import DurableIntake, RequestFront
 
 __all__ = [
@@ -38,6 +40,7 @@
     "Front",
     "Listener",
     "ListenerStatus",
+    "MemoryRelief",
     "Phase",
     "RequestFront",
     "Responder",
--- a/eiderfield/net/clients/connection.py
+++ b/eiderfield/net/clients/connection.py
@@ -44,6 +44,9 @@
 MAX_DISCARDED_BYTES = 262_144  # meanwhile; more input stays unread, since 60 MB of it used a CPU core
 MAX_PIPELINED_BYTES = 16384  # unparsed bytes while a response is due, above which reading pauses
 MESSAGES_PER_TURN = 16  # messages of one connection handled in a turn of the loop
+SMALL_REQUEST_BYTES = 4096  # requests up to this size are accepted also while memory is scarce
+MEMORY_RETRY_AFTER_MS = 1000.0  # advised to a client that is refused for lack of memory
+STALLED_RESPONSE_MS = 500.0  # after which a response that the client does not read may be given up
 EVICTION_GRACE_MS = 500.0  # an incomplete message or an undelivered response prevents eviction so long
 
 REQUEST_TIMEOUT = 408
@@ -155,6 +158,7 @@
         self._reading_messages = False
         self._throttled = False  # whether no messages are handled for now
         self._discarded_bytes = 0
+        self._response_written_at = now
         self._memory = listener.memory.open_account(MemoryPart.CLIENTS)
         self._request_bytes = 0  # memory of the request that was passed to the front
         # Whether any response was written; after a handover one may have been written before.
@@ -168,6 +172,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._flow.open(transport)
+        self.update_held_bytes()
         if self.phase == Phase.CLOSED:  # evicted before it had a transport; its descriptor must not leak
             transport.abort()
         elif self.rejection is not None:
@@ -176,8 +181,11 @@
             self._read_messages()
 
     def get_buffer(self, _sizehint: int) -> memoryview:
-        """Return the buffer that all connections share."""
-        return _READ_BUFFER
+        """Return a part of the buffer that all connections share.
+
+        It has room for the rest of the current body, and for a bounded number of bytes of later messages.
+        """
+        return _READ_BUFFER[: self._reader.expected_body_bytes + MAX_PIPELINED_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take bytes that have arrived."""
@@ -193,6 +201,7 @@
         elif self._reader.buffered > MAX_PIPELINED_BYTES:
             self._flow.pause()
         self.update_held_bytes()
+        self.listener.memory.check()
 
     def eof_received(self) -> bool:
         """Treat a half-close by the client as a disconnection."""
@@ -244,6 +253,7 @@
         )
         self._transport.write(response_bytes(status, body, keep_alive, **headers))
         self._response_written = True
+        self._response_written_at = self.listener.clock()
         self._request_bytes = 0
         self.update_held_bytes()
         if not keep_alive:
@@ -271,6 +281,52 @@
             headers["Retry_After"] = f"{rejection.retry_after / 1000.0:.3f}"
         self._reject_message(MalformedMessageError(text, SERVICE_UNAVAILABLE), **headers)
 
+    # Memory is scarce.
+
+    @property
+    def message_weight(self) -> float:
+        """How much an incomplete message burdens the process: its bytes times the ms since the last one.
+
+        It is 0 if there is none, or if the connection has messages that may be complete.
+        """
+        if self.phase != Phase.READING or self._throttled or self._transport is None:
+            return 0.0
+        if not self._reader.in_message:
+            return 0.0
+        return self.held_bytes * (1.0 + self.silent_ms)
+
+    @property
+    def stalls_response(self) -> bool:
+        """Whether the client has not read its last response for some time."""
+        if self._transport is None or not self._transport.get_write_buffer_size():
+            return False
+        return self.listener.clock() >= self._response_written_at + STALLED_RESPONSE_MS
+
+    @property
+    def pipelined_bytes(self) -> int:
+        """Bytes of later messages that have arrived while a response is due."""
+        return self._reader.buffered if self.phase == Phase.WAITING else 0
+
+    def end_message(self) -> None:
+        """Refuse a message that is incomplete."""
+        self._refuse_for_memory(Reason.MEMORY_MESSAGE)
+
+    def give_up_response(self) -> None:
+        """Close the connection without waiting until the client reads its response."""
+        self.listener.report_cut_off(self, Reason.MEMORY_RESPONSE)
+        self.abort()
+
+    def drop_pipelined(self) -> None:
+        """Drop the bytes of later messages, and close the connection after the response that is due."""
+        self._keep_alive = False
+        self._reader.clear()
+        self._flow.pause()
+        self.update_held_bytes()
+
+    def _refuse_for_memory(self, reason: Reason) -> None:
+        self.listener.report_cut_off(self, reason)
+        self._reject_overload("too little memory", Rejection(reason, True, MEMORY_RETRY_AFTER_MS))
+
     # State that the listener and fronts read.
 
     @property
@@ -497,9 +553,12 @@
         self.admission.end_message()
         self.phase = Phase.WAITING
         self._keep_alive = head.keep_alive
+        body = self._reader.take_body()
+        self._request_bytes = len(body) + len(head.target)
+        if not self._has_room_for_request():
+            self._refuse_for_memory(Reason.MEMORY_REQUEST)
+            return
         try:
-            body = self._reader.take_body()
-            self._request_bytes = len(body) + len(head.target)
             on_disconnect = self.listener.front.handle_message(self.listener, self, head, body)
         except MalformedMessageError:
             raise
@@ -511,6 +570,11 @@
             self._on_disconnect = on_disconnect
             self.listener.open_connections.mark_busy(self)
 
+    def _has_room_for_request(self) -> bool:
+        """Return whether there is memory for the request that is to be passed to the front."""
+        self.update_held_bytes()
+        return self._request_bytes <= SMALL_REQUEST_BYTES or self.listener.memory.make_room_for_requests()
+
     def _begin_message(self) -> None:
         """Start the time limit of an incomplete message, and count it in admission control."""
         if self.proven:  # else the limit runs since the connection was accepted, however slowly bytes arrive
--- a/eiderfield/net/clients/message_reader.py
+++ b/eiderfield/net/clients/message_reader.py
@@ -41,6 +41,11 @@
         head_bytes = 0 if self.head is None else self._head_bytes
         return self._parser.buffered + len(self._body) + head_bytes
 
+    @property
+    def expected_body_bytes(self) -> int:
+        """Bytes of the body of the message that is arriving, or of its current chunk, that are missing."""
+        return self._parser.expected_body_bytes
+
     @property
     def received_body_bytes(self) -> int:
         """Bytes of the body of the message that is arriving."""
--- a/eiderfield/net/http/parser.py
+++ b/eiderfield/net/http/parser.py
@@ -62,6 +62,11 @@
         """The number of received bytes that are not yet parsed."""
         return len(self._buffer)
 
+    @property
+    def expected_body_bytes(self) -> int:
+        """The number of bytes of the body, or of its current chunk, that are not yet received."""
+        return self._remaining_bytes
+
     @property
     def incomplete_head(self) -> bytes | None:
         """The received part of an incomplete head (empty between messages), None within a message."""
--- a/eiderfield/net/worker_connection.py
+++ b/eiderfield/net/worker_connection.py
@@ -145,6 +145,7 @@
         self._reader.feed(_READ_BUFFER[:nbytes])
         self._process_received_bytes()
         self._update_held_bytes()
+        self._wait_for_memory()
 
     def eof_received(self) -> bool:
         """Close an idle connection that the worker has shut down for sending.
@@ -224,6 +225,18 @@
             self._pending_dial.cancel()
         self._update_held_bytes()
 
+    def _wait_for_memory(self) -> None:
+        """Stop reading a response while more bytes are held than the process may."""
+        memory = self._owner.memory
+        memory.check()
+        if memory.exceeded and self.state in _READING and self._transport is not None:
+            self._transport.pause_reading()
+            memory.call_when_available(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self.state != ConnectionState.CLOSED and self._transport is not None:
+            self._transport.resume_reading()
+
     def _update_held_bytes(self) -> None:
         """Report to the memory budget how many bytes the connection holds now."""
         if self.state == ConnectionState.CLOSED or self._transport is None:
--- a/eiderfield/net/worker_pool.py
+++ b/eiderfield/net/worker_pool.py
@@ -91,6 +91,7 @@
     def share_connections(self, shared: bool) -> None:
         """Halve the connection limit if `shared` with another process of this dispatcher, or restore it."""
         self._connection_limit = self._configured_limit // 2 if shared else self._configured_limit
+        self.memory.set_shared(shared)
         while len(self._connections) > self._connection_limit and self._idle:
             self._idle.longest_idle().close()
 
--- a/eiderfield/program/core.py
+++ b/eiderfield/program/core.py
@@ -15,7 +15,8 @@
 from eiderfield.net.discovery.routing_table import RoutingTable
 from eiderfield.net.file_operations import OperationRunner
 from eiderfield.net.loop import Driver
-from eiderfield.net.memory_budget import MemoryBudget
+from eiderfield.net.memory import resident_bytes
+from eiderfield.net.memory_budget import MemoryBudget, budget_bytes
 from eiderfield.net.worker_pool import WorkerPool
 from eiderfield.program.log import log
 from eiderfield.program.part import Figures, Part
@@ -49,7 +50,7 @@
     exchange = Exchange(config.policy_settings, config.seed, driver.wheel, driver.wake, log)
     driver.turn = exchange.turn
     driver.on_pause = exchange.process_resumed
-    memory = MemoryBudget()
+    memory = MemoryBudget(budget_bytes(config.memory_mb, resident_bytes(), limits.clients + limits.workers))
     workers = WorkerPool(
         exchange,
         driver.wheel,
--- a/eiderfield/program/listeners.py
+++ b/eiderfield/program/listeners.py
@@ -13,10 +13,11 @@
 from eiderfield.config.limits import CONSOLE_DESCRIPTORS
 from eiderfield.config.loader import Config
 from eiderfield.connections.admission import AdmissionControl
-from eiderfield.net.clients import Front, Listener
+from eiderfield.net.clients import ClientConnection, Front, Listener, MemoryRelief
 from eiderfield.net.console import CALL_TIMEOUT_MS, ConsoleFront
 from eiderfield.net.faults import RETRY_DELAY_MS, is_resource_shortage
 from eiderfield.net.memory import memory_share_of
+from eiderfield.net.memory_budget import MemoryBudget
 from eiderfield.program.core import Core
 from eiderfield.program.log import log
 from eiderfield.program.part import Figures, Part
@@ -96,16 +97,20 @@
 class ClientListeners(Part):
     """The listeners for clients."""
 
-    def __init__(self, listeners: Sequence[BoundListener], opener: Opener) -> None:
-        """`listeners` begin with that for requests."""
+    def __init__(self, listeners: Sequence[BoundListener], opener: Opener, memory: MemoryBudget) -> None:
+        """`listeners` begin with that for requests; `memory` is relieved from their connections."""
         self._bound = listeners
         self._opener = opener
+        MemoryRelief(memory, self._open_connections)
 
     @property
     def listeners(self) -> list[Listener]:
         """The listeners without their addresses."""
         return [bound.listener for bound in self._bound]
 
+    def _open_connections(self) -> list[ClientConnection]:
+        return [connection for listener in self.listeners for connection in listener.open_connections]
+
     @property
     def accepting(self) -> bool:
         """Whether all listeners accept clients."""
--- a/eiderfield/program/program.py
+++ b/eiderfield/program/program.py
@@ -57,7 +57,7 @@
 
         durable = make_durable_requests(config, self.core, loop)
         bound, batch = _bind_listeners(config, self.core, durable, limits)
-        self._clients = ClientListeners(bound, opener)
+        self._clients = ClientListeners(bound, opener, self.core.memory)
         console = ConsolePart(config, self.core, opener, self.is_ready, self._figures, self.settings.report)
         peers = make_peers(config, self.core, loop)
         handover = _make_handover(self.core, loop, [*bound, *_present(console.bound)])
--- a/tests/support/memory_dispatcher.py
+++ b/tests/support/memory_dispatcher.py
@@ -82,11 +82,11 @@
 
     def send(self, data: bytes) -> None:
         """Pass data of the peer to the protocol."""
-        for start in range(0, len(data), 65536):
-            piece = data[start : start + 65536]
-            if self.open:
-                self.protocol.get_buffer(-1)[: len(piece)] = piece
-                self.protocol.buffer_updated(len(piece))
+        while data and self.open:
+            buffer = self.protocol.get_buffer(-1)
+            piece, data = data[: len(buffer)], data[len(buffer) :]
+            buffer[: len(piece)] = piece
+            self.protocol.buffer_updated(len(piece))
 
     def break_off(self) -> None:
         """Reset the connection by the peer."""
