Bound the work that one connection is given in a turn of the loop

Cause: all that one read had brought was parsed before another connection had its turn, and 64 KB may be 10,000 chunks of some 8.5 us. Class of fault: work bounded in bytes or messages where its cost is by parsed element.

A connection parses 64 chunks or lines in a turn. If more has arrived it is not read until its turn comes again; all deferred connections together parse 512 at a tick of 4 ms, in order. The time limit of the message runs on. One poll of a parser is bounded by the same number, chunks are collected in it without a call each, and empty lines before a start line are skipped at once and limited to 16 KB. Related paths checked: heads have 100 fields at most, trailers are counted like chunks; the lines of a worker's response in one read are not bounded yet.

--- a/eiderfield/net/clients/__init__.py
+++ b/eiderfield/net/clients/__init__.py
@@ -17,6 +17,7 @@
 | `cut_off_log` | the log of connections that are cut off |
 | `turn_figures` | the largest amounts of work in a turn |
 | `memory_relief` | gives back bytes of connections while memory is scarce |
+| `deferred_reads` | continues messages that take many turns of the loop |
 | `acceptor` | a listening socket and the loop that accepts from it |
 | `listener` | the connections of a listening socket, their capacity and admission |
 
--- a/eiderfield/net/clients/connection.py
+++ b/eiderfield/net/clients/connection.py
@@ -31,6 +31,7 @@
 from eiderfield.net.clients.connection_admission import ConnectionAdmission
 from eiderfield.net.clients.connection_table import ConnectionTable
 from eiderfield.net.clients.connection_timer import ConnectionTimer, TimerSettings
+from eiderfield.net.clients.deferred_reads import DeferredReads
 from eiderfield.net.clients.detached import ConnectionHandover, Detach, DetachedConnection
 from eiderfield.net.clients.flow_control import FlowControl
 from eiderfield.net.clients.front import ClientDisconnectCallback, Front, ListenerStatus
@@ -43,6 +44,7 @@
 LINGER_TIME_MS = 1000.0  # time for which input is discarded, so that the last response arrives
 MAX_DISCARDED_BYTES = 262_144  # meanwhile; more input stays unread, since 60 MB of it used a CPU core
 MAX_PIPELINED_BYTES = 16384  # unparsed bytes while a response is due, above which reading pauses
+ELEMENTS_PER_TURN = 64  # chunks and lines of one connection parsed in a turn of the loop
 MESSAGES_PER_TURN = 16  # messages of one connection handled in a turn of the loop
 SMALL_REQUEST_BYTES = 4096  # requests up to this size are accepted also while memory is scarce
 MEMORY_RETRY_AFTER_MS = 1000.0  # advised to a client that is refused for lack of memory
@@ -84,6 +86,10 @@
     def memory(self) -> MemoryBudget:
         """Counts the bytes that the connection holds."""
 
+    @property
+    def deferred_reads(self) -> DeferredReads:
+        """Continues messages that take many turns."""
+
     @property
     def turns(self) -> TurnFigures:
         """Records the work of each turn."""
@@ -289,7 +295,9 @@
 
         It is 0 if there is none, or if the connection has messages that may be complete.
         """
-        if self.phase != Phase.READING or self._throttled or self._transport is None:
+        if self.phase != Phase.READING or self._transport is None:
+            return 0.0
+        if self._throttled and self._reader.head is None:
             return 0.0
         if not self._reader.in_message:
             return 0.0
@@ -526,14 +534,18 @@
         if handled == MESSAGES_PER_TURN:  # the other connections are handled first
             self._set_throttled(True)
             self._timer.call_at(self.listener.clock(), self._read_more_messages)
-        elif not self._timer.limits_message and self._reader.in_message:
+            return
+        if not self._timer.limits_message and self._reader.in_message:
             self._begin_message()
+        if self._reader.interrupted and self.phase == Phase.READING:
+            self._set_throttled(True)
+            self.listener.deferred_reads.add(self._continue_message)
 
     def _handle_messages(self) -> int:
         """Pass the complete messages to the front; return their number."""
         handled = 0
         while self.phase == Phase.READING and not self._throttled and handled < MESSAGES_PER_TURN:
-            head = self._reader.next_message()
+            head = self._reader.next_message(ELEMENTS_PER_TURN)
             if head is not None:
                 handled += 1
                 self._pass_to_front(head)
@@ -591,6 +603,15 @@
         self._timer.restart(self.proven, self._idle_since)
         self._set_throttled(False)
 
+    def _continue_message(self) -> int:
+        """Parse more of a message that takes many turns; return the number of parsed elements."""
+        elements = self._reader.elements
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self.listener.deferred_reads.add(self._continue_message)
+        elif self.phase != Phase.CLOSED:
+            self._set_throttled(False)
+        return max(0, self._reader.elements - elements)
+
     def _set_throttled(self, throttled: bool) -> None:
         """Stop or resume handling this client's messages."""
         self._throttled = throttled
--- a/eiderfield/net/clients/listener.py
+++ b/eiderfield/net/clients/listener.py
@@ -27,6 +27,7 @@
 from eiderfield.net.clients.connection import ClientConnection
 from eiderfield.net.clients.connection_table import ConnectionTable
 from eiderfield.net.clients.cut_off_log import CutOff, CutOffLog
+from eiderfield.net.clients.deferred_reads import DeferredReads
 from eiderfield.net.clients.detached import ConnectionHandover, Detach
 from eiderfield.net.clients.front import Front
 from eiderfield.net.clients.parking import ConnectionParking
@@ -51,6 +52,7 @@
         admission: decides which connections are admitted; None admits all.
         memory_usage: gives the share of the process's memory that is in use, from 0 to 1.
         memory: counts the bytes that connections hold, against the limit of the process.
+        deferred_reads: continues messages that take many turns of the loop.
         turns: the largest amounts of work that one connection was given in a turn.
         open_connections: the connections that are not parked.
         parking: parks idle connections.
@@ -97,6 +99,7 @@
         self.memory_usage = memory_usage
         self.memory = memory or MemoryBudget()
         self.turns = TurnFigures()
+        self.deferred_reads = DeferredReads(timers, clock)
         self._cut_off_log: CutOffLog | None = None
         self._usage_updated_at = -inf
         self._pending_rejections = 0  # connections that are being answered 503
--- a/eiderfield/net/clients/message_reader.py
+++ b/eiderfield/net/clients/message_reader.py
@@ -17,6 +17,7 @@
         self.head_at = opened_at  # when that head was complete
         self.last_byte_at = opened_at
         self._head_bytes = 0  # memory that `head` takes
+        self.interrupted = False  # whether the last search for a message was ended by its limit of work
         self.expects_continue = False  # whether the client waits for an interim response to `head`
         self._clock = clock
         self._body = bytearray()  # of the message that is arriving, or of the one returned last
@@ -67,15 +68,18 @@
         self._arrivals.record(len(data), now)
         self._parser.feed(data)
 
-    def next_message(self) -> Head | None:
+    def next_message(self, max_elements: int) -> Head | None:
         """Return the head of the next complete message; `take_body` returns its body until the next call.
 
         Returns:
-            None where no message is complete, and once when `expects_continue` becomes set.
+            None where no message is complete, once when `expects_continue` becomes set, and with
+            `interrupted` set where `max_elements` were parsed and more may have arrived.
 
         Raises:
             MalformedMessageError: the bytes are no message that the server accepts.
         """
+        last_element = self._parser.elements + max_elements
+        self.interrupted = False
         while (part := self._parser.poll()) is not None:
             if isinstance(part, Head):
                 self.head = part
@@ -87,6 +91,9 @@
                     return None
             elif isinstance(part, bytes):
                 self._body += part
+                if self._parser.elements >= last_element:
+                    self.interrupted = True
+                    return None
             elif self.head is not None:
                 head, self.head = self.head, None
                 return head
--- a/eiderfield/net/discovery/watch_connection.py
+++ b/eiderfield/net/discovery/watch_connection.py
@@ -85,7 +85,8 @@
             if part.status >= FIRST_FINAL_STATUS:
                 self._owner.on_head(part)
         elif isinstance(part, bytes):
-            self._owner.on_body(part)
+            if part:
+                self._owner.on_body(part)
         else:
             self._owner.on_end()
 
--- a/eiderfield/net/http/parser.py
+++ b/eiderfield/net/http/parser.py
@@ -5,7 +5,8 @@
     FIXED ──(its last byte)──> DONE        TO_CLOSE ──(end of the connection)──> HEAD
     DONE ──(the end is returned)──> HEAD
 
-Only received bytes change the state. Invariants: ambiguous input is rejected; buffers stay within limits.
+Only received bytes change the state. Invariants: ambiguous input is rejected; buffers stay within limits; the
+work of one `poll` is bounded, however small the chunks and lines are.
 """
 
 from __future__ import annotations
@@ -20,6 +21,10 @@
 MAX_BODY_BYTES = 65536  # of a request's body
 MAX_CHUNK_LINE_BYTES = 256  # of the line with a chunk's size
 
+MAX_ELEMENTS_PER_POLL = 64  # chunks and lines
+MAX_EMPTY_LINE_BYTES = MAX_HEAD_BYTES  # of empty lines before a start line
+
+_EMPTY_LINES = re.compile(rb"(?:\r\n)*")
 _CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
 
 
@@ -40,7 +45,7 @@
     BodyEnd.CHUNKED: _State.CHUNK_SIZE,
     BodyEnd.CLOSE: _State.TO_CLOSE,
 }
-_IN_BODY = (_State.FIXED, _State.CHUNK, _State.TO_CLOSE)
+_WITHOUT_CHUNKS = (_State.FIXED, _State.TO_CLOSE)
 
 
 class Parser:
@@ -55,6 +60,7 @@
         self._remaining_bytes = 0  # bytes of the body or of the chunk that are not yet received
         self._body_bytes = 0  # bytes of the body, including announced ones
         self._trailer_bytes = 0
+        self._empty_line_bytes = 0
         self.elements = 0  # heads, chunks and lines parsed so far
 
     @property
@@ -94,21 +100,43 @@
         return None
 
     def poll(self) -> Head | bytes | End | None:
-        """Return the next head, part of a body or end of a message; None if more bytes are needed."""
+        """Return the next head, part of a body or end of a message; None if more bytes are needed.
+
+        A part may be empty: then the limit of the work of one call is reached.
+        """
         while True:
             if self._state == _State.HEAD:
                 return self._read_head()
             if self._state == _State.DONE:
                 self._state = _State.HEAD
                 return END
-            if self._state in _IN_BODY:
+            if self._state in _WITHOUT_CHUNKS:
                 return self._read_body()
-            if not self._read_chunk_line():
-                return None
+            data = self._read_chunks()
+            if data is None or data or not self._is_done:
+                return data
+
+    @property
+    def _is_done(self) -> bool:
+        return self._state == _State.DONE
+
+    def _read_chunks(self) -> bytes | None:
+        """Parse chunks and the lines around them; return their data, None if nothing is complete."""
+        data = bytearray()
+        last = self.elements + MAX_ELEMENTS_PER_POLL
+        while self.elements < last and self._state != _State.DONE:
+            if self._state != _State.CHUNK:
+                complete = self._read_chunk_line()
+            else:
+                part = self._read_body()
+                complete = part is not None
+                data += part or b""
+            if not complete:
+                return bytes(data) or None
+        return bytes(data)
 
     def _read_head(self) -> Head | None:
-        while self._buffer.startswith(b"\r\n"):  # RFC 9112: ignore empty lines before a start line
-            del self._buffer[:2]
+        self._skip_empty_lines()
         end = self._buffer.find(b"\r\n\r\n", 0, MAX_HEAD_BYTES)
         if end < 0:
             if len(self._buffer) >= MAX_HEAD_BYTES:
@@ -117,6 +145,7 @@
         text = self._buffer[:end].decode("latin-1")
         del self._buffer[: end + 4]
         self.elements += 1
+        self._empty_line_bytes = 0
         head = parse_head(text, self._is_response)
         framing = framing_of(head, self._is_response)
         self._body_bytes = 0
@@ -125,6 +154,18 @@
         self._state = _AFTER_HEAD[framing.end]
         return head
 
+    def _skip_empty_lines(self) -> None:
+        """Skip empty lines before a start line, which RFC 9112 asks to ignore, up to a limit."""
+        empty_lines = _EMPTY_LINES.match(self._buffer)
+        length = 0 if empty_lines is None else empty_lines.end()
+        del empty_lines  # it prevents the buffer from being resized
+        if not length:
+            return
+        del self._buffer[:length]
+        self._empty_line_bytes += length
+        if self._empty_line_bytes > MAX_EMPTY_LINE_BYTES:
+            raise MalformedMessageError("too many empty lines", CONTENT_TOO_LARGE)
+
     def _read_body(self) -> bytes | None:
         if not self._buffer:
             return None
--- a/tests/test_client_turns.py
+++ b/tests/test_client_turns.py
@@ -4,8 +4,14 @@
 
 import pytest
 from support.crowd import SoundClient, TimedWorker, read_response, running_dispatcher
+from support.memory_dispatcher import Client, InMemoryDispatcher
 
-pytestmark = [pytest.mark.real_time]
+from eiderfield.connections.settings import MESSAGE_TIMEOUT_MS
+from eiderfield.net.clients.connection import ELEMENTS_PER_TURN
+from eiderfield.net.clients.deferred_reads import MAX_ELEMENTS_PER_TICK
+from eiderfield.net.http import MalformedMessageError, Parser
+from eiderfield.net.http.parser import MAX_ELEMENTS_PER_POLL, MAX_EMPTY_LINE_BYTES
+from eiderfield.net.wheel import TICK_MS
 
 WORK_MS = 50.0
 LATE_MS = 400.0  # tolerated beside any one peer, with margin for a machine that runs other tests
@@ -29,6 +35,7 @@
             writer.close()
 
 
+@pytest.mark.real_time
 @pytest.mark.parametrize("payload", [TINY_CHUNKS, TRAILER, EMPTY_LINES], ids=["chunks", "trailer", "lines"])
 # Regression: 20 connections with bodies in chunks of one byte kept other clients from any answer for 6 s.
 def test_other_clients_are_served_in_time_beside_a_client_with_tiny_elements(tmp_path, payload):
@@ -50,3 +57,75 @@
     assert set(sound.outcomes) == {200}
     assert sound.outcomes[200] > PLAY_S * 1000 / LATE_MS
     assert max(sound.times_ms) < WORK_MS + LATE_MS
+
+
+def chunked(id_, chunks, end=b"0\r\n\r\n"):
+    head = f"POST /safe/a HTTP/1.1\r\nX-Request-Id: {id_}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head.encode() + b"1\r\nx\r\n" * chunks + end
+
+
+def test_message_of_many_chunks_is_parsed_over_several_turns():
+    dispatcher = InMemoryDispatcher()
+    client = Client(dispatcher)
+    client.send(chunked("r1", 3 * ELEMENTS_PER_TURN))
+    assert dispatcher.listener.turns.elements <= ELEMENTS_PER_TURN + MAX_ELEMENTS_PER_POLL
+    assert not dispatcher.dials
+    dispatcher.advance(10 * TICK_MS)
+    dispatcher.dials[0].up().finish()
+    assert client.answers()[0][0] == 200
+
+
+def test_work_of_a_tick_is_bounded_over_all_connections():
+    dispatcher = InMemoryDispatcher()
+    clients = [Client(dispatcher) for _ in range(50)]
+    for number, client in enumerate(clients):
+        client.send(chunked(f"r{number}", 2 * ELEMENTS_PER_TURN))
+    deferred = len(dispatcher.listener.deferred_reads)
+    assert deferred == 50
+    dispatcher.advance(TICK_MS)
+    done = deferred - len(dispatcher.listener.deferred_reads)
+    assert done <= MAX_ELEMENTS_PER_TICK / ELEMENTS_PER_TURN
+    dispatcher.advance(100 * TICK_MS)
+    declined = sum(len(client.answers()) for client in clients)
+    assert dispatcher.exchange.pending_request_count + declined == 50, "each message was completed"
+
+
+# Regression guard: a message that is parsed over many turns must not get a new time limit with each of them.
+def test_deferred_message_keeps_its_time_limit():
+    dispatcher = InMemoryDispatcher()
+    client = Client(dispatcher)
+    client.send(chunked("r1", 1, end=b""))
+    dispatcher.advance(MESSAGE_TIMEOUT_MS - 20 * TICK_MS)
+    client.send(b"1\r\nx\r\n" * 2 * ELEMENTS_PER_TURN)
+    dispatcher.advance(30 * TICK_MS)
+    assert client.answers()[0][0] == 408
+
+
+def test_message_whose_client_disconnects_while_it_is_deferred_is_dropped():
+    dispatcher = InMemoryDispatcher()
+    client = Client(dispatcher)
+    client.send(chunked("r1", 3 * ELEMENTS_PER_TURN))
+    client.pipe.break_off()
+    dispatcher.advance(10 * TICK_MS)
+    assert not dispatcher.dials
+    assert not len(dispatcher.listener.deferred_reads)
+
+
+def test_work_of_a_poll_is_bounded():
+    parser = Parser()
+    parser.feed(chunked("r1", 10, end=b"0\r\n" + b"a:\r\n" * 500 + b"\r\n"))
+    parser.poll()
+    while not parser.at_boundary:
+        before = parser.elements
+        parser.poll()
+        assert parser.elements - before <= MAX_ELEMENTS_PER_POLL
+
+
+def test_empty_lines_before_a_start_line_are_bounded():
+    parser = Parser()
+    parser.feed(b"\r\n" * 100 + b"GET / HTTP/1.1\r\n\r\n")
+    assert parser.poll() is not None
+    parser.poll()
+    parser.feed(b"\r\n" * MAX_EMPTY_LINE_BYTES)
+    with pytest.raises(MalformedMessageError):
+        parser.poll()
