Let one deferred message have all the work of a tick

Deferred connections now take turns until the elements of the tick are used up, 1,024 instead of 512.

--- a/eiderfield/net/clients/deferred_reads.py
+++ b/eiderfield/net/clients/deferred_reads.py
@@ -14,7 +14,8 @@
 
 from eiderfield.exchange.timers import Timers
 
-MAX_ELEMENTS_PER_TICK = 512  # parsed heads, chunks and lines of all deferred connections
+MAX_ELEMENTS_PER_TICK = 1024  # parsed heads, chunks and lines of all deferred connections
+MAX_REPEATED_TURNS = 32  # in a tick, where few connections are deferred
 
 
 class DeferredReads:
@@ -43,9 +44,9 @@
 
     def _continue(self) -> None:
         self._scheduled = False
-        turns, elements = len(self._waiting), 0
-        if turns > 1:
+        turns, elements = len(self._waiting) + MAX_REPEATED_TURNS, 0
+        if len(self._waiting) > 1:
             self._schedule()  # also if a connection fails
-        while turns and elements < MAX_ELEMENTS_PER_TICK:
+        while turns and self._waiting and elements < MAX_ELEMENTS_PER_TICK:
             turns -= 1
             elements += self._waiting.popleft()()
