--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -133,6 +133,22 @@
             while not await self._is_ready():
                 await asyncio.sleep(0.02)
 
+    async def start_next(self) -> None:
+        """Start a process beside the present one, and wait until it has taken over its listener."""
+        config = json.loads((self.folder / "config.json").read_text())
+        self.console_port = free_port()
+        config["console"] = f"127.0.0.1:{self.console_port}"
+        (self.folder / "config.json").write_text(json.dumps(config))
+        await self.start()
+        async with asyncio.timeout(30.0):
+            while await self._console_status() != 200:
+                await asyncio.sleep(0.02)
+
+    async def _console_status(self) -> int:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            return await ask(self.console_port, b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        return 0
+
     async def _is_ready(self) -> bool:
         with suppress(OSError, asyncio.IncompleteReadError):
             async with asyncio.timeout(1.0):
