Remember the ids of requests that must run once after their clients have left

Cause: an id was in use only while its request had an open attempt, in the memory of one process. An attempt that is given up may run on at its worker. Class of fault: knowledge of an effect outside kept as long as the conversation about it, not as long as the effect. Ruled out: the policy, which does not retry such a request.

An id is added to a table before the first byte of an attempt, and removed if no worker can have run it. The same id gets 409 then. Not covered: another dispatcher (nothing connects them but the folder of durable requests, whose records hold), and classes that may repeat, whose ids may come again.

--- a/eiderfield/exchange/attempt_table.py
+++ b/eiderfield/exchange/attempt_table.py
@@ -9,7 +9,7 @@
 from eiderfield.exchange.event_queue import EventQueue
 from eiderfield.exchange.metrics import Metrics
 from eiderfield.exchange.other_process import OtherProcessState
-from eiderfield.exchange.request import Attempt, PendingRequest
+from eiderfield.exchange.request import Attempt, PendingRequest, may_have_run
 from eiderfield.exchange.request_table import RequestTable
 from eiderfield.interface import (
     MAX_WRITE_DELAY_MS,
@@ -90,6 +90,8 @@
             self._open_per_worker[attempt.worker] -= 1
             self._notify_other_process(attempt.worker)
         attempt.may_have_run = attempt.may_have_run and outcome not in NEVER_RAN
+        if self.must_run_once(pending) and not may_have_run(pending):
+            self._context.begun_ids.remove(pending.request.id)
         pending.running = False
         if pending.durable and self._context.durable_requests is not None:
             self._context.durable_requests.attempt_ended(attempt)
@@ -108,6 +110,11 @@
             )
         )
 
+    def must_run_once(self, pending: PendingRequest) -> bool:
+        """Return whether the id of a request is remembered once it has begun. Records keep durable ones."""
+        request_class = self._context.settings.classes[pending.request.class_index]
+        return request_class.effect == Effect.UNSAFE and not pending.durable
+
     def _notify_other_process(self, worker: int, work: float = 0.0) -> None:
         if self._other_process.process is not None:
             self._other_process.process.attempts_changed(worker, self._open_per_worker[worker], work)
--- a/eiderfield/exchange/context.py
+++ b/eiderfield/exchange/context.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from eiderfield.exchange.begun_ids import BegunIds
 from eiderfield.exchange.protocols import DurableRequests, PeerChannel, WorkerSide
 from eiderfield.exchange.timers import Timers
 from eiderfield.interface import Settings
@@ -20,3 +21,4 @@
     worker_side: WorkerSide | None = None
     durable_requests: DurableRequests | None = None
     peer_channel: PeerChannel | None = None
+    begun_ids: BegunIds = field(default_factory=BegunIds)
--- a/eiderfield/exchange/exchange.py
+++ b/eiderfield/exchange/exchange.py
@@ -12,6 +12,7 @@
 
 from eiderfield.exchange.actions import ActionExecutor
 from eiderfield.exchange.attempt_table import AttemptTable, StopReason
+from eiderfield.exchange.begun_ids import BegunIds
 from eiderfield.exchange.context import Context
 from eiderfield.exchange.endpoint_table import EndpointTable
 from eiderfield.exchange.event_queue import EventQueue
@@ -36,6 +37,7 @@
     AttemptProgressed,
     ClientDisconnected,
     EarlierAttempt,
+    Effect,
     Endpoint,
     EndpointListKind,
     EndpointsUpdated,
@@ -107,6 +109,10 @@
         """Set the adapter that persists the requests submitted as durable."""
         self._context.durable_requests = durable_requests
 
+    def attach_begun_ids(self, begun_ids: BegunIds) -> None:
+        """Set the table of begun ids, which outlives this process; call it before the first request."""
+        self._context.begun_ids = begun_ids
+
     def attach_peer_channel(self, peer_channel: PeerChannel) -> None:
         """Set the adapter that sends reports to other dispatchers."""
         self._context.peer_channel = peer_channel
@@ -154,6 +160,11 @@
         """
         return self._requests.has_id(request_id)
 
+    def has_begun(self, request: Request) -> bool:
+        """Return whether a request must not run twice, and one with its id may have run."""
+        effect = self.settings.classes[request.class_index].effect
+        return effect == Effect.UNSAFE and request.id in self._context.begun_ids
+
     def submit(
         self,
         request: Request,
--- a/eiderfield/exchange/worker_reports.py
+++ b/eiderfield/exchange/worker_reports.py
@@ -50,6 +50,12 @@
         durable_requests = self._context.durable_requests
         return not pending.durable or durable_requests is None or durable_requests.may_write(attempt)
 
+    def request_begins(self, attempt: Attempt) -> None:
+        """Record that the first byte of an attempt is about to be written."""
+        pending = attempt.pending
+        if self._attempts.must_run_once(pending):
+            self._context.begun_ids.add(pending.request.id)
+
     def request_written(self, attempt: Attempt) -> None:
         """Record that the last byte of an attempt was sent."""
         attempt.may_have_run = True
--- a/eiderfield/net/clients/request_front.py
+++ b/eiderfield/net/clients/request_front.py
@@ -79,6 +79,9 @@
         if self._exchange.has_request(request.id):  # workers must not receive two requests with the same id
             connection.reject(409, "X-Request-Id is that of a job which is not over yet")
             return None
+        if self._exchange.has_begun(request):
+            connection.reject(409, "X-Request-Id is that of a job that may have run and must not run twice")
+            return None
         connection.proven = True
         id_ = self._exchange.submit(
             request,
--- a/eiderfield/net/worker_connection.py
+++ b/eiderfield/net/worker_connection.py
@@ -199,6 +199,8 @@
         self.state = ConnectionState.BUSY
         self._reader.start(call.pending.request.id if isinstance(call, Attempt) else None)
         self._flushed = True
+        if isinstance(call, Attempt):
+            self._worker_reports.request_begins(call)
         transport.write(self._calls.request_for(call))
         self._update_held_bytes()
         if transport.is_closing():  # the write failed: not every byte of the request has been sent
--- a/eiderfield/program/core.py
+++ b/eiderfield/program/core.py
@@ -10,6 +10,7 @@
 from eiderfield.exchange.exchange import Exchange
 from eiderfield.idmap import IdMap
 from eiderfield.net.bans import Bans
+from eiderfield.net.begun_ids_file import open_begun_ids
 from eiderfield.net.clock import WallClock
 from eiderfield.net.descriptors import ConnectionLimits
 from eiderfield.net.discovery.routing_table import RoutingTable
@@ -48,6 +49,7 @@
     wall = WallClock(driver.clock)
     ids = IdMap(config.zones, config.kinds)
     exchange = Exchange(config.policy_settings, config.seed, driver.wheel, driver.wake, log)
+    exchange.attach_begun_ids(open_begun_ids(state_path(config.listen, "ids"), log))
     driver.turn = exchange.turn
     driver.on_pause = exchange.process_resumed
     memory = MemoryBudget(budget_bytes(config.memory_mb, resident_bytes(), limits.clients + limits.workers))
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -68,17 +68,22 @@
         self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(OSError, asyncio.IncompleteReadError):
+        try:
             while await reader.readline():
-                id_ = await self._read(reader)
-                self.runs[id_] += 1
-                await asyncio.sleep(self.work_s)
-                told = {"id": id_, "from": "w", "state": "done", "result": self.result}
-                text = json.dumps(told).encode() + b"\n"
-                head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                writer.write(head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
-                await writer.drain()
-        writer.close()
+                await self._answer(await self._read(reader), writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the dispatcher has given up the request, or the test has ended
+        finally:
+            writer.close()
+
+    async def _answer(self, id_: str, writer: asyncio.StreamWriter) -> None:
+        self.runs[id_] += 1
+        await asyncio.sleep(self.work_s)
+        told = {"id": id_, "from": "w", "state": "done", "result": self.result}
+        text = json.dumps(told).encode() + b"\n"
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
+        await writer.drain()
 
     @staticmethod
     async def _read(reader: asyncio.StreamReader) -> str:
