Keep a connection that has just been accepted until its first request is overdue

Cause, by a trace of each close: the listener was full, and an accepted connection without bytes was taken for an idle one and evicted for the next client in the backlog, 55 to 590 ms after it was accepted, before its request was sent. Ruled out: a request that was read and dropped (nothing was read or unread on the closed ones), 503 rejections, failed accepts.

--- a/eiderfield/net/clients/acceptor.py
+++ b/eiderfield/net/clients/acceptor.py
@@ -8,8 +8,8 @@
 
 While there is no capacity, clients wait in the backlog, unless a connection can be evicted for them.
 
-Invariants: no connection is evicted while no client waits; an accept that fails is not repeated in a busy
-loop.
+Invariants: no connection is evicted while no client waits, and none that has just been accepted; an accept
+that fails is not repeated in a busy loop.
 """
 
 from __future__ import annotations
@@ -41,6 +41,10 @@
     def clock(self) -> float:
         """Return the current time in ms."""
 
+    @property
+    def next_eviction_is_new(self) -> bool:
+        """Whether the connection that would be evicted next has just been accepted."""
+
     def ensure_capacity(self) -> bool:
         """Evict a connection if one more needs it; return whether one more may be accepted."""
 
@@ -109,6 +113,10 @@
             # A connection is evicted only for a client that is waiting in the backlog.
             if self._owner.full and not self.client_waits_in_backlog():
                 return
+            if self._owner.full and self._owner.next_eviction_is_new:
+                # Its first request may be on its way: the client in the backlog waits until it is overdue.
+                self._pause()
+                return
             if not self._owner.ensure_capacity():
                 # Closing a connection would lose its request: clients wait in the backlog until one ends.
                 self._pause()
--- a/eiderfield/net/clients/connection.py
+++ b/eiderfield/net/clients/connection.py
@@ -358,6 +358,11 @@
         slow = not self.proven and self.listener.clock() >= self._reader.last_byte_at + EVICTION_GRACE_MS
         return slow and not self._has_unread_bytes
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the client has just connected: its first request may be on its way."""
+        return not self._response_written and self.listener.clock() < self._idle_since + EVICTION_GRACE_MS
+
     @property
     def held_bytes(self) -> int:
         """About how many bytes of memory the connection holds: received, requested, not yet sent."""
--- a/eiderfield/net/clients/listener.py
+++ b/eiderfield/net/clients/listener.py
@@ -326,6 +326,12 @@
         """Whether clients wait in the backlog for whom there is no capacity, or no descriptor."""
         return self.acceptor.has_waiting_clients
 
+    @property
+    def next_eviction_is_new(self) -> bool:
+        """Whether the connection that would be evicted next has just been accepted."""
+        connection = self.open_connections.first_unproven()
+        return connection is not None and connection.is_new
+
     def ensure_capacity(self) -> bool:
         """Evict a connection if one more needs it; return whether one more may be accepted."""
         if not self.full:
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -382,3 +382,15 @@
     dispatcher.advance(MESSAGE_TIMEOUT_MS / 2)
     client.send(b"x" * 3000)
     assert dispatcher.exchange.has_request("r2")
+
+
+# Regression: a sound client that connected together with a crowd was closed before it could send.
+def test_new_connection_is_not_evicted_before_its_first_request_is_overdue():
+    dispatcher = InMemoryDispatcher(most=1)
+    client = Client(dispatcher)
+    assert dispatcher.listener.next_eviction_is_new
+    dispatcher.advance(EVICTION_GRACE_MS)
+    assert not dispatcher.listener.next_eviction_is_new
+    assert client.pipe.open
+    assert dispatcher.listener.ensure_capacity()
+    assert not client.pipe.open
