Apply a whole list of Consul on a new connection too, at once

Cause: ConsulWatch kept "confirmed" as a fact of the connection. Each new connection began unconfirmed, and an unconfirmed list that omitted more than half of the ready workers was applied without its omissions until 10 s had passed. The same held for lists with X-Consul-KnownLeader: false. A connection ends at every interruption, SIGHUP and handover; the source does not. The evidence for a source that has lost its state is in the list: its index is lower than before, and it names no ready worker.

Ruled out: that the watch came back late, or that attempts went out from queues after the list was applied: the workers were never marked as gone, the log says "list omits ready workers ... reason='new connection'", and the time is that of CONFIRMATION_TIMEOUT_MS.

Change: the history of the source (index of the last whole list) lives in the routing table and outlives connections and watches. A list is set aside only if its index went back and it names no ready worker, and only in what it omits. The limit of 10 s is counted from the first such list, survives connections and watches, and is kept by a timer; it used to wait for a further list.

--- a/eiderfield/net/discovery/consul.py
+++ b/eiderfield/net/discovery/consul.py
@@ -1,29 +1,38 @@
 """Consul as a source of workers: blocking queries to its health or catalogue API.
 
-An agent that has just started, or whose cluster has no leader, may list none or only some of the instances
-that are running. Such a list is unconfirmed: the states in it are applied, since they may include drains, but
-the workers that it omits are kept for up to `CONFIRMATION_TIMEOUT_MS` while the queries continue. The console
-reports the number of workers that are kept in this way.
+A list is applied as a whole as soon as it is received, on a new connection too, and the workers that it omits
+get no new requests. The exception is a list that shows that Consul has lost its state (`source_history`).
+Such a list is unconfirmed: the states in it are applied, since they may include drains, but the workers that
+it omits are kept while the queries continue, for at most `MAX_KEPT_MS` after the first such list, even if no
+further list is received. The console reports the number of workers that are kept in this way.
+
+`X-Consul-KnownLeader: false` marks a list as possibly old, not as incomplete, so it is only logged.
 """
 
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from urllib.parse import quote
 
-from eiderfield.exchange.timers import Timers
+from eiderfield.exchange.timers import Timer, Timers
 from eiderfield.net.dialing import Dial
 from eiderfield.net.discovery.consul_instances import parse_catalog_entry, parse_health_entry
-from eiderfield.net.discovery.endpoint_list import EndpointList, EndpointListError, ListedEndpoint
+from eiderfield.net.discovery.endpoint_list import (
+    EndpointList,
+    EndpointListError,
+    EndpointStatus,
+    ListedEndpoint,
+)
 from eiderfield.net.discovery.routing_table import RoutingTable
 from eiderfield.net.discovery.settings import ConsulApi, DiscoverySettings
+from eiderfield.net.discovery.source_history import SourceHistory
 from eiderfield.net.discovery.watch import Watch
 from eiderfield.net.http import Head, MalformedMessageError, request_bytes
 
-CONFIRMATION_TIMEOUT_MS = 10_000.0  # until an unconfirmed list is applied; an agent syncs in less time
-MIN_LISTED_SHARE = 0.5  # share of the known ready workers below which a list may need confirmation
+MAX_KEPT_MS = 10_000.0  # for which workers are kept that an unconfirmed list omits
 MAX_WAIT_EXTENSION = 1.0 / 16.0  # share of a query's wait by which Consul may extend the wait
 RESPONSE_SLACK_MS = 2000.0  # time for a response after the extended wait has ended
 REPEAT_INTERVAL_MS = 1000.0  # delay before a query that does not block
@@ -47,20 +56,24 @@
         assert discovery.address is not None
         super().__init__(table, timers, clock, dial, discovery.address, log)
         self._discovery = discovery
+        self._history = self._find_history()
         self.heartbeat_timeout = discovery.wait_ms * (1.0 + MAX_WAIT_EXTENSION) + RESPONSE_SLACK_MS
         self._index = 0  # the next query waits for changes after this index; 0 stands for no wait
         self._response_index = 0  # index of the response that is being received
-        self._confirmed = False  # whether a list was confirmed on this connection
         self._has_leader = True  # whether the cluster had a leader at the last response
-        self._unconfirmed_since: float | None = None
+        self._kept_timer: Timer | None = None  # ends the time for which omitted workers are kept
         self._first_seen: dict[str, float] | None = None  # by instance name; 0 for those in the first list
 
     def connect(self) -> None:
-        """Open a connection; the indexes are reset, since another server may answer, with other indexes."""
+        """Open a connection; its first query does not wait, since another server may answer it."""
         self._index = 0
-        self._confirmed = False
         super().connect()
 
+    def stop(self) -> None:
+        """Close the watch permanently."""
+        self._stop_kept_timer()
+        super().stop()
+
     def next_request(self) -> bytes:
         """Return a blocking query, or one without a wait if there is no index yet."""
         source = self._discovery
@@ -88,15 +101,9 @@
         endpoints = self._parse_endpoints()
         # After a restart of Consul, or the restoration of a snapshot, its indexes begin at lower values: a
         # query with the old index would wait forever.
-        index_went_back = self._response_index < max(1, self._index)
-        unconfirmed = self._count_unconfirmed_removals(endpoints, index_went_back)
-        self._index = 0 if index_went_back or unconfirmed else self._response_index
-        listed = self._with_first_seen(endpoints)
-        self.table.apply(EndpointList(self._response_index, snapshot=not unconfirmed, endpoints=listed))
+        self._index = 0 if self._history.has_gone_back(self._response_index) else self._response_index
+        self._apply(endpoints)
         self.table.start_times.record_source_contact()
-        self.table.unconfirmed_removals = unconfirmed
-        if not unconfirmed:
-            self.report_first_list()
         if self._index:
             self._query()
         else:
@@ -110,37 +117,57 @@
         parse = parse_health_entry if self._discovery.api == ConsulApi.HEALTH else parse_catalog_entry
         return [parse(entry) for entry in answer]
 
-    def _count_unconfirmed_removals(self, endpoints: Iterable[ListedEndpoint], index_went_back: bool) -> int:
-        """Return the number of omitted workers to be kept for now; 0 if the list is confirmed.
-
-        A list is unconfirmed if it lists less than `MIN_LISTED_SHARE` of the known ready workers, and no list
-        of its connection is confirmed, its index went back or the cluster has no leader. After
-        `CONFIRMATION_TIMEOUT_MS` it counts as confirmed.
-        """
-        known = self.table.ready_workers
-        omitted = len(known - {self.table.ids.worker(endpoint.name) for endpoint in endpoints})
-        needs_confirmation = not self._confirmed or index_went_back or not self._has_leader
-        if not needs_confirmation or not known or len(known) - omitted >= MIN_LISTED_SHARE * len(known):
-            self._confirm()
-            return 0
-        now = self.clock()
-        if self._unconfirmed_since is None:
-            self._unconfirmed_since = now
-            reason = "new connection" if self._has_leader else "no leader"
+    def _find_history(self) -> SourceHistory:
+        """Return the history that the table holds of this source, which an earlier watch may have begun."""
+        source = self._discovery.source
+        known = self.table.source_history
+        return known if known is not None and known.source == source else SourceHistory(source)
+
+    def _apply(self, endpoints: list[ListedEndpoint]) -> None:
+        """Apply a list as a whole, or without its omissions if it may be incomplete."""
+        index = self._response_index
+        lists_ready_worker = any(endpoint.status == EndpointStatus.SERVING for endpoint in endpoints)
+        listed = {self.table.ids.worker(endpoint.name) for endpoint in endpoints}
+        omitted = len(self.table.ready_workers - listed)
+        keeps_omitted = omitted > 0 and self._history.may_be_incomplete(index, lists_ready_worker)
+        self.table.apply(EndpointList(index, not keeps_omitted, self._with_first_seen(endpoints)))
+        self.table.source_history = self._history
+        if keeps_omitted:
+            self._keep_omitted(omitted, index)
+        else:
+            self._accept(index)
+
+    def _accept(self, index: int) -> None:
+        """Record that a list is in force as a whole."""
+        self._stop_kept_timer()
+        self._history.accepted_index = index
+        self.report_first_list()
+
+    def _keep_omitted(self, omitted: int, index: int) -> None:
+        """Keep the workers that a list omits, unless workers have been kept for too long already."""
+        if self.table.kept_since is None:
+            self.table.kept_since = self.clock()
             self.log(
-                f"discovery: list omits ready workers, keeping them until it is confirmed "
-                f"(omitted={omitted} ready={len(known)} reason={reason!r} "
-                f"timeout_ms={CONFIRMATION_TIMEOUT_MS:.0f})"
+                "discovery: list omits ready workers, keeping them until it is confirmed "
+                f"(omitted={omitted} ready={len(self.table.ready_workers)} index={index} "
+                f"accepted_index={self._history.accepted_index} leader={self._has_leader} "
+                f"timeout_ms={MAX_KEPT_MS:.0f})"
             )
-        if now >= self._unconfirmed_since + CONFIRMATION_TIMEOUT_MS:
-            self.log(f"discovery: unconfirmed list applied (omitted={omitted} ready={len(known)})")
-            self._confirm()
-            return 0
-        return omitted
-
-    def _confirm(self) -> None:
-        """Record that a list of this connection is confirmed."""
-        self._confirmed, self._unconfirmed_since = True, None
+        if self._kept_timer is None:
+            drop = partial(self._drop_kept, index)
+            self._kept_timer = self.timers.call_at(self.table.kept_since + MAX_KEPT_MS, drop)
+
+    def _drop_kept(self, index: int) -> None:
+        """Remove the workers that were kept although lists omit them."""
+        if self.table.kept_since is not None:
+            self.log(f"discovery: unconfirmed list applied (omitted={self.table.unconfirmed_removals})")
+            self.table.remove_kept_workers()
+            self._accept(index)
+
+    def _stop_kept_timer(self) -> None:
+        if self._kept_timer is not None:
+            self._kept_timer.cancel()
+            self._kept_timer = None
 
     def _query(self) -> None:
         """Send the next query, now or when the rate limit of `backoff` allows it."""
--- a/eiderfield/net/discovery/routing_table.py
+++ b/eiderfield/net/discovery/routing_table.py
@@ -23,6 +23,7 @@
     ListedEndpoint,
     parse_endpoint_list,
 )
+from eiderfield.net.discovery.source_history import SourceHistory
 from eiderfield.net.start_times import StartTimes
 from eiderfield.net.table_state import EndpointRecord, RoutingTableState, UnbannedWorker
 from eiderfield.net.worker_pool import WorkerPool
@@ -44,8 +45,9 @@
         start_times: The start times of workers on this process's clock.
         index: The version of the last list, None before the first one.
         watches_reopened: The number of times that a watch was lost and reopened, by reason.
-        unconfirmed_removals: The number of workers that the last list omits and that are kept until it is
-            confirmed.
+        kept_since: Since when ready workers have been kept although lists omit them, None if none are. All
+            workers that are ready are then kept ones.
+        source_history: The history of the source whose list was applied last, None if it has none.
         on_list_applied: Called after each list from a source was applied; not for cached lists.
         on_ban_changed: Called with a worker's name and the start of its ban, or None when it was lifted.
     """
@@ -69,7 +71,8 @@
         self.start_times = StartTimes(clock, wall or WallClock(clock, clock))
         self.index: int | None = None
         self.watches_reopened: Counter[str] = Counter()
-        self.unconfirmed_removals = 0
+        self.kept_since: float | None = None
+        self.source_history: SourceHistory | None = None
         self.on_list_applied: Callable[[], None] = lambda: None
         self.on_ban_changed: Callable[[str, float | None], None] | None = None
         self._endpoints: dict[int, Endpoint] = {}  # by worker, without bans
@@ -89,6 +92,11 @@
             worker for worker, endpoint in self._endpoints.items() if endpoint.state == EndpointState.READY
         }
 
+    @property
+    def unconfirmed_removals(self) -> int:
+        """The number of workers that are kept as ready although the last list omits them."""
+        return 0 if self.kept_since is None else len(self.ready_workers)
+
     # Bans.
 
     def ban(self, name: str, on_saved: SavedCallback = ignore_result) -> bool:
@@ -163,6 +171,7 @@
         endpoints = tuple([self._to_endpoint(listed) for listed in endpoint_list.endpoints])
         self.index = endpoint_list.index
         if endpoint_list.snapshot:
+            self.kept_since = None
             self._workers.retain_workers({endpoint.worker for endpoint in endpoints})
             self._endpoints = {
                 worker: replace(endpoint, state=EndpointState.GONE)
@@ -176,6 +185,15 @@
         if kind != EndpointListKind.CACHED:
             self.on_list_applied()
 
+    def remove_kept_workers(self) -> None:
+        """Remove the workers that were kept although lists omit them."""
+        self.kept_since = None
+        gone = [replace(self._endpoints[worker], state=EndpointState.GONE) for worker in self.ready_workers]
+        for endpoint in gone:
+            self._endpoints[endpoint.worker] = endpoint
+            self._workers.set_address(endpoint.worker, None)
+        self._exchange.update_endpoints(EndpointListKind.DELTA, self.index or 0, tuple(gone))
+
     def _to_endpoint(self, listed: ListedEndpoint) -> Endpoint:
         worker, group = self.ids.worker(listed.name), listed.group
         return Endpoint(
--- a/eiderfield/net/discovery/settings.py
+++ b/eiderfield/net/discovery/settings.py
@@ -36,3 +36,9 @@
     api: str = ConsulApi.HEALTH
     token: str = ""
     wait_ms: float = 30_000.0  # for which Consul may delay the response to a blocking query
+
+    @property
+    def source(self) -> str:
+        """What identifies the source, whatever the token and the times of the calls to it are."""
+        host, port = self.address or ("", 0)
+        return f"{self.kind}:{host}:{port}/{self.api}/{self.service}"
--- a/eiderfield/net/discovery/watch.py
+++ b/eiderfield/net/discovery/watch.py
@@ -65,7 +65,7 @@
         self.log = log
         self.body = bytearray()  # the received part of the response body
         self.connection: WatchConnection | None = None
-        self._timers = timers
+        self.timers = timers
         self._dial = dial
         self._pending_dial: PendingDial | None = None
         self._timer: Timer | None = None
@@ -148,7 +148,7 @@
         """Set the watch's one timer to `wait` ms from now."""
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._timers.call_at(self.clock() + wait, callback)
+        self._timer = self.timers.call_at(self.clock() + wait, callback)
 
     def _start_heartbeat_timer(self, connection: WatchConnection) -> None:
         silent = partial(self.on_lost, connection, LossReason.SILENT, "no heartbeat")
--- /dev/null
+++ b/tests/test_consul_interruptions.py
@@ -0,0 +1,44 @@
+"""A dispatcher's process and Consul on real sockets: interruptions while the fleet shrinks."""
+
+import asyncio
+import time
+
+import pytest
+from support.consul_server import consul_play
+
+pytestmark = [pytest.mark.real_time]
+
+WATCHED_S = 2.0  # after the first list without the workers; the fault lasted for 10 s
+
+
+async def shrink_while_disconnected(folder, remaining, index=None, has_leader=True):
+    """Break the connection in the moment in which workers leave; return the play and the late requests."""
+    async with consul_play(folder) as play:
+        await play.send_until(time.monotonic() + 0.3)
+        began = time.monotonic()
+        await play.consul.close()
+        play.consul.has_leader = has_leader
+        await play.consul.set_listed(play.workers[:remaining], index)
+        await play.consul.open()
+        told_at = await play.consul.wait_for_answer(began)
+        await play.send_until(told_at + WATCHED_S)
+        gone = play.workers[remaining:]
+        assert all(worker.received_at for worker in gone)
+        return play, play.late_requests(gone, told_at)
+
+
+# Regression: a list on a new connection was set aside for 10 s, and omitted workers got requests (review/3).
+@pytest.mark.parametrize(
+    "source", [{}, {"index": 3}, {"has_leader": False}], ids=["index forward", "index back", "no leader"]
+)
+def test_workers_that_left_during_an_interruption_get_no_requests_after_the_grace(tmp_path, source):
+    play, late = asyncio.run(shrink_while_disconnected(tmp_path, 5, **source))
+    assert late == []
+    assert all(client.outcomes == {200: len(client.times_ms)} for client in play.clients)
+
+
+# Regression: an empty list with a forward index was set aside for 10 s on a new connection (review/3).
+def test_empty_list_with_forward_index_ends_requests_to_all_workers(tmp_path):
+    play, late = asyncio.run(shrink_while_disconnected(tmp_path, 0))
+    assert late == []
+    assert set().union(*[client.outcomes for client in play.clients]) == {200, 503}
