Refuse a malformed entry of Consul's list, and apply what the list says of the others

What callers saw: while one instance was registered wrongly (no address, a port that is a string, metadata that is no table), workers that had left the catalogue or were draining got requests without end, and failed when the workers were switched off.

Cause: the parser raised at the first malformed entry, which refused the response as a whole and closed the connection. The next response held the same entry, so the table stayed as it was for as long as the entry did.

Ruled out: the back-off between connections. Each new connection had the list within 1 s, and refused it.

Change: entries are parsed one by one. A refused entry that names a listed worker keeps it, with the status that the entry gives, so that a drain counts though the address beside it cannot be read. One that names nobody stands for nobody, unless the list names no ready worker: then the omitted ones are kept for 10 s at most, as for a source that has lost its state. A response that is no list, or whose entries name no worker at all, is refused as before. The console counts refused entries, and the log names the first of them.

--- a/eiderfield/net/console.py
+++ b/eiderfield/net/console.py
@@ -76,6 +76,7 @@
         "watches_reopened": dict(table.watches_reopened),
         "hosts_listed": len(listed),
         "hosts_doubted": table.unconfirmed_removals,
+        "entries_refused": len(table.refused_entries),
         "hosts_banned": sorted(table.bans.since),
         "hosts_down": len(exchange.snapshot(now).avoided_workers & listed),
     }
--- a/eiderfield/net/discovery/consul.py
+++ b/eiderfield/net/discovery/consul.py
@@ -12,12 +12,13 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from functools import partial
 from urllib.parse import quote
 
 from eiderfield.exchange.timers import Timer, Timers
+from eiderfield.interface import EndpointState
 from eiderfield.net.dialing import Dial
 from eiderfield.net.discovery.consul_instances import parse_catalog_entry, parse_health_entry
 from eiderfield.net.discovery.endpoint_list import (
@@ -25,6 +26,8 @@
     EndpointListError,
     EndpointStatus,
     ListedEndpoint,
+    ParsedEntries,
+    parse_entries,
 )
 from eiderfield.net.discovery.routing_table import RoutingTable
 from eiderfield.net.discovery.settings import ConsulApi, DiscoverySettings
@@ -98,24 +101,24 @@
     def on_end(self) -> None:
         """Apply the list and schedule the next query; raises `EndpointListError`."""
         self.record_heartbeat()
-        endpoints = self._parse_endpoints()
+        entries = self._parse_entries()
         # After a restart of Consul, or the restoration of a snapshot, its indexes begin at lower values: a
         # query with the old index would wait forever.
         self._index = 0 if self._history.has_gone_back(self._response_index) else self._response_index
-        self._apply(endpoints)
+        self._apply(entries)
         self.table.start_times.record_source_contact()
         if self._index:
             self._query()
         else:
             self.set_timer(REPEAT_INTERVAL_MS, self._query)
 
-    def _parse_endpoints(self) -> list[ListedEndpoint]:
+    def _parse_entries(self) -> ParsedEntries:
         answer: object = json.loads(self.body)
         self.body.clear()
         if not isinstance(answer, list):
             raise EndpointListError("the answer is not a list")
         parse = parse_health_entry if self._discovery.api == ConsulApi.HEALTH else parse_catalog_entry
-        return [parse(entry) for entry in answer]
+        return parse_entries(answer, parse)
 
     def _find_history(self) -> SourceHistory:
         """Return the history that the table holds of this source, which an earlier watch may have begun."""
@@ -123,14 +126,20 @@
         known = self.table.source_history
         return known if known is not None and known.source == source else SourceHistory(source)
 
-    def _apply(self, endpoints: list[ListedEndpoint]) -> None:
+    def _apply(self, entries: ParsedEntries) -> None:
         """Apply a list as a whole, or without its omissions if it may be incomplete."""
         index = self._response_index
-        lists_ready_worker = any(endpoint.status == EndpointStatus.SERVING for endpoint in endpoints)
-        listed = {self.table.ids.worker(endpoint.name) for endpoint in endpoints}
-        omitted = len(self.table.ready_workers - listed)
-        keeps_omitted = omitted > 0 and self._history.may_be_incomplete(index, lists_ready_worker)
-        self.table.apply(EndpointList(index, not keeps_omitted, self._with_first_seen(endpoints)))
+        retained = self.table.retained_endpoints(entries.refused)
+        listed = {self.table.ids.worker(endpoint.name) for endpoint in entries.endpoints}
+        omitted = len(self.table.ready_workers - listed - {endpoint.worker for endpoint in retained})
+        keeps_omitted = omitted > 0 and self._history.may_be_incomplete(
+            index,
+            lists_ready_worker=any(e.status == EndpointStatus.SERVING for e in entries.endpoints)
+            or any(endpoint.state == EndpointState.READY for endpoint in retained),
+            has_nameless_entry=any(not entry.name for entry in entries.refused),
+        )
+        endpoints = self._with_first_seen(entries.endpoints)
+        self.apply_list(EndpointList(index, not keeps_omitted, endpoints, entries.refused))
         self.table.source_history = self._history
         if keeps_omitted:
             self._keep_omitted(omitted, index)
@@ -179,7 +188,7 @@
         self.record_heartbeat()
         self.connection.send_request()
 
-    def _with_first_seen(self, endpoints: list[ListedEndpoint]) -> tuple[ListedEndpoint, ...]:
+    def _with_first_seen(self, endpoints: Iterable[ListedEndpoint]) -> tuple[ListedEndpoint, ...]:
         """Return endpoints with the times of their first listing, used where their starts are unknown."""
         names = {endpoint.name for endpoint in endpoints}
         if self._first_seen is None:
--- a/eiderfield/net/discovery/endpoint_list.py
+++ b/eiderfield/net/discovery/endpoint_list.py
@@ -1,11 +1,13 @@
 """List of workers in typed form, and the parser for the platform's JSON form.
 
-A list is parsed completely before any of it is applied, so that a malformed list changes nothing.
+A list is parsed completely before any of it is applied, so that a malformed list changes nothing. In a list
+that a source has sent, a malformed entry is refused alone: the other entries may say that a worker drains or
+is gone. Such a list is malformed as a whole only if none of its entries names a worker.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from math import isfinite
@@ -16,25 +18,27 @@
 from eiderfield.idmap import FIRST_NAMED_CELL
 
 
+class EndpointStatus(Enum):
+    """Status of a worker. The values are those of the platform's lists."""
+
+    SERVING = "SERVING"
+    DRAINING = "DRAINING"
+    DELETED = "DELETED"
+
+
 class EndpointListError(EiderfieldError, ValueError):
     """A list is malformed.
 
     Attributes:
         endpoint: Name of the malformed endpoint, empty if it has none or the list itself is malformed.
+        status: Status of the malformed endpoint, None if it is malformed too.
     """
 
-    def __init__(self, problem: str, *, endpoint: str = "") -> None:
+    def __init__(self, problem: str, *, endpoint: str = "", status: EndpointStatus | None = None) -> None:
         """Create an error; its text begins with the name of the endpoint if there is one."""
         super().__init__(f"endpoint {endpoint}: {problem}" if endpoint else problem)
         self.endpoint = endpoint
-
-
-class EndpointStatus(Enum):
-    """Status of a worker. The values are those of the platform's lists."""
-
-    SERVING = "SERVING"
-    DRAINING = "DRAINING"
-    DELETED = "DELETED"
+        self.status = status
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,6 +56,21 @@
     first_seen: float = 0.0  # time of the first listing on this process's clock, used if `since_ms` is 0
 
 
+@dataclass(slots=True, frozen=True)
+class RefusedEntry:
+    """A malformed entry of a list. A worker that it names is listed, and keeps what is not given here.
+
+    Attributes:
+        name: The name of the worker, empty if the entry does not say which worker it is.
+        status: The status of the worker, None if it is malformed.
+        problem: What is malformed.
+    """
+
+    name: str
+    status: EndpointStatus | None
+    problem: str
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointList:
     """All endpoints at version `index` if `snapshot` is true, else those that have changed up to it."""
@@ -59,6 +78,29 @@
     index: int
     snapshot: bool
     endpoints: tuple[ListedEndpoint, ...]
+    refused: tuple[RefusedEntry, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class ParsedEntries:
+    """The entries of a list."""
+
+    endpoints: tuple[ListedEndpoint, ...]
+    refused: tuple[RefusedEntry, ...]
+
+
+def parse_entries(entries: Iterable[object], parse: Callable[[object], ListedEndpoint]) -> ParsedEntries:
+    """Parse the entries of a list one by one; raises `EndpointListError` if there are some, but no names."""
+    endpoints, refused, first_error = [], [], None
+    for entry in entries:
+        try:
+            endpoints.append(parse(entry))
+        except EndpointListError as error:
+            refused.append(RefusedEntry(error.endpoint, error.status, str(error)))
+            first_error = first_error or error
+    if first_error is not None and not endpoints and not any(entry.name for entry in refused):
+        raise first_error
+    return ParsedEntries(tuple(endpoints), tuple(refused))
 
 
 def parse_endpoint_list(document: object) -> EndpointList:
--- a/eiderfield/net/discovery/routing_table.py
+++ b/eiderfield/net/discovery/routing_table.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from eiderfield.exchange.exchange import Exchange
@@ -21,6 +21,7 @@
     EndpointList,
     EndpointStatus,
     ListedEndpoint,
+    RefusedEntry,
     parse_endpoint_list,
 )
 from eiderfield.net.discovery.source_history import SourceHistory
@@ -76,6 +77,7 @@
         self.on_list_applied: Callable[[], None] = lambda: None
         self.on_ban_changed: Callable[[str, float | None], None] | None = None
         self._endpoints: dict[int, Endpoint] = {}  # by worker, without bans
+        self._refused: tuple[RefusedEntry, ...] = ()
         self._unbanned: dict[int, UnbannedWorker] = {}  # by worker, until a start is announced
 
     @property
@@ -92,6 +94,11 @@
             worker for worker, endpoint in self._endpoints.items() if endpoint.state == EndpointState.READY
         }
 
+    @property
+    def refused_entries(self) -> tuple[RefusedEntry, ...]:
+        """The malformed entries of the present list."""
+        return self._refused
+
     @property
     def unconfirmed_removals(self) -> int:
         """The number of workers that are kept as ready although the last list omits them."""
@@ -168,23 +175,53 @@
         kind = EndpointListKind.DELTA
         if endpoint_list.snapshot:
             kind = EndpointListKind.CACHED if cached else EndpointListKind.FULL
-        endpoints = tuple([self._to_endpoint(listed) for listed in endpoint_list.endpoints])
+        retained = self.retained_endpoints(endpoint_list.refused)
+        endpoints = [self._to_endpoint(listed) for listed in endpoint_list.endpoints]
+        changed = [*retained, *endpoints]
         self.index = endpoint_list.index
         if endpoint_list.snapshot:
-            self.kept_since = None
-            self._workers.retain_workers({endpoint.worker for endpoint in endpoints})
-            self._endpoints = {
-                worker: replace(endpoint, state=EndpointState.GONE)
-                for worker, endpoint in self._endpoints.items()
-            }
+            self._begin_snapshot({endpoint.worker for endpoint in changed})
+        self._record_refused(endpoint_list)
+        self._endpoints.update({endpoint.worker: endpoint for endpoint in changed})
+        for endpoint in retained:
+            if endpoint.state == EndpointState.GONE:
+                self._workers.set_address(endpoint.worker, None)
         for endpoint, listed in zip(endpoints, endpoint_list.endpoints, strict=True):
-            self._endpoints[endpoint.worker] = endpoint
             self._workers.set_address(endpoint.worker, listed.address)
-        with_bans = tuple([self._with_ban(endpoint) for endpoint in endpoints])
+        with_bans = tuple([self._with_ban(endpoint) for endpoint in changed])
         self._exchange.update_endpoints(kind, endpoint_list.index, with_bans)
         if kind != EndpointListKind.CACHED:
             self.on_list_applied()
 
+    def retained_endpoints(self, refused: Iterable[RefusedEntry]) -> list[Endpoint]:
+        """Return the listed workers that malformed entries name, with the states that these give."""
+        retained = []
+        for entry in refused:
+            worker = self.ids.find_worker(entry.name)
+            endpoint = None if worker is None else self._endpoints.get(worker)
+            if endpoint is not None and endpoint.state != EndpointState.GONE:
+                state = endpoint.state if entry.status is None else _STATES[entry.status]
+                retained.append(replace(endpoint, state=state))
+        return retained
+
+    def _begin_snapshot(self, listed: set[int]) -> None:
+        """Remove the workers that are not listed in a snapshot."""
+        self.kept_since = None
+        self._workers.retain_workers(listed)
+        self._endpoints = {
+            worker: replace(endpoint, state=EndpointState.GONE)
+            for worker, endpoint in self._endpoints.items()
+        }
+
+    def _record_refused(self, endpoint_list: EndpointList) -> None:
+        if endpoint_list.snapshot:
+            self._refused = endpoint_list.refused
+            return
+        named = {endpoint.name for endpoint in endpoint_list.endpoints}
+        named |= {entry.name for entry in endpoint_list.refused}
+        earlier = [entry for entry in self._refused if entry.name and entry.name not in named]
+        self._refused = (*earlier, *endpoint_list.refused)
+
     def remove_kept_workers(self) -> None:
         """Remove the workers that were kept although lists omit them."""
         self.kept_since = None
--- a/eiderfield/net/discovery/source_history.py
+++ b/eiderfield/net/discovery/source_history.py
@@ -2,8 +2,9 @@
 
 A connection ends at each interruption, at a change of the configuration and at a handover. The source does
 not, so its history outlives all of these: a new connection says nothing about the list that is received on
-it. A source that has lost its state shows it in two ways together: its index is lower than before, and it
-lists no worker that is ready. Every other list is complete, however few workers it lists.
+it. A list may be incomplete if it lists no worker that is ready, and in addition its index is lower than
+before, as that of a source that has lost its state, or one of its entries does not say which worker it is.
+Every other list is complete, however few workers it lists.
 
     no list ──(a list)──> complete ──(an incomplete list)──> unconfirmed
                              ^  ^──────(a complete list)──────────┤
@@ -36,6 +37,9 @@
         """Return whether the index of a list is lower than that of an earlier list of the source."""
         return index < max(FIRST_INDEX, self.accepted_index or 0)
 
-    def may_be_incomplete(self, index: int, lists_ready_worker: bool) -> bool:
-        """Return whether workers that a list omits may still be running."""
-        return self.has_gone_back(index) and not lists_ready_worker
+    def may_be_incomplete(self, index: int, lists_ready_worker: bool, has_nameless_entry: bool) -> bool:
+        """Return whether workers that a list omits may still be running.
+
+        `has_nameless_entry` is whether a malformed entry may stand for any of them.
+        """
+        return not lists_ready_worker and (self.has_gone_back(index) or has_nameless_entry)
--- a/eiderfield/net/discovery/watch.py
+++ b/eiderfield/net/discovery/watch.py
@@ -10,7 +10,7 @@
 
 Invariants:
 
-- Only a list that is complete and well-formed changes the table.
+- Only a response that is complete and well-formed changes the table; of its entries, only those that are.
 - A connection attempt or a request is always pending at a source that does not answer.
 - No wait exceeds the limits of `Backoff`.
 """
@@ -25,6 +25,7 @@
 from eiderfield.exchange.timers import Timer, Timers
 from eiderfield.net.backoff import SOURCE_DIAL_TIMEOUT_MS, Backoff
 from eiderfield.net.dialing import Dial, PendingDial
+from eiderfield.net.discovery.endpoint_list import EndpointList
 from eiderfield.net.discovery.routing_table import RoutingTable
 from eiderfield.net.discovery.watch_connection import LossReason, WatchConnection
 from eiderfield.net.http import Head, MalformedMessageError
@@ -139,6 +140,17 @@
         if self.connection is not None:
             self._start_heartbeat_timer(self.connection)
 
+    def apply_list(self, endpoint_list: EndpointList) -> None:
+        """Apply a list to the table, and log its malformed entries unless they were malformed before."""
+        known = set(self.table.refused_entries)
+        self.table.apply(endpoint_list)
+        new = [entry for entry in endpoint_list.refused if entry not in known]
+        if new:
+            self.log(
+                f"discovery: entries refused, the others are applied "
+                f"(count={len(new)} first={new[0].problem!r} index={endpoint_list.index})"
+            )
+
     def report_first_list(self) -> None:
         """Call `on_first_list` unless it was called before. The list must have been applied."""
         on_first_list, self.on_first_list = self.on_first_list, lambda: None
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -60,6 +60,7 @@
         "hosts_listed": 1,
         "hosts_down": 0,
         "hosts_doubted": 0,
+        "entries_refused": 0,
         "hosts_banned": [],
         "in_time": zeros,
         "broken": {},
