Count a weight of Consul that is not a finite number as one

What callers saw: with an instance whose weight is 1e999, the next process of an upgrade refused the handed-over state ("message rejected, link closed ... weight is not a number") and began with an empty table (trial with a pair of processes in memory, one play with weight 1 and one with an infinite one).

Cause: JSON's 1e999 and NaN are floats, and the parser took any number. The handover encodes the table, and its decoder takes finite numbers only. Booleans are integers in Python and counted as weights too.

Change: what is not a finite number counts as 1, as a weight of another type did before.

Tests: 4 of 5 cases fail before (all but the string), none now.

--- a/eiderfield/net/discovery/consul_instances.py
+++ b/eiderfield/net/discovery/consul_instances.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from math import isfinite
+from typing import TypeGuard
 
 from eiderfield.config.address import PORT_COUNT
 from eiderfield.net.discovery.endpoint_list import EndpointListError, EndpointStatus, ListedEndpoint
@@ -84,7 +85,7 @@
         zone=str(meta.get("zone") or instance.datacenter or ""),
         kind=str(meta.get("type", "")),
         group=str(meta.get("group", "")),
-        weight=float(weight) if isinstance(weight, int | float) else DEFAULT_WEIGHT,
+        weight=float(weight) if _is_finite_number(weight) else DEFAULT_WEIGHT,
         since_ms=_parse_since(meta.get("since_ms"), instance),
     )
 
@@ -128,6 +129,10 @@
     return table
 
 
+def _is_finite_number(value: object) -> TypeGuard[int | float]:
+    return not isinstance(value, bool) and isinstance(value, int | float) and isfinite(value)
+
+
 def _parse_since(text: object, instance: _Instance) -> float:
     """Return the start time in an instance's metadata, 0 if there is none; metadata values are strings."""
     if text is None:
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -1,5 +1,6 @@
 """The watch of Consul with a simulated agent: queries, index resets, malformed and partial lists."""
 
+import json
 from dataclasses import replace
 
 import pytest
@@ -167,6 +168,16 @@
     assert sum("discovery: entries refused" in line for line in consul.dispatcher.logged) == 1
 
 
+# Regression: an infinite weight, which JSON's 1e999 stands for, made each handover to the next process fail.
+@pytest.mark.parametrize("weight", ["1e999", "-1e999", "NaN", "true", '"2"'])
+def test_weight_that_is_not_a_finite_number_counts_as_one(weight):
+    consul = Consul()
+    body = json.dumps([instance("a", 1)]).replace('"Passing": 2', f'"Passing": {weight}')
+    consul.answer(7, raw=body.encode())
+    [worker] = consul.dispatcher.exchange.dispatcher.workers.values()
+    assert worker.entry.weight == 1.0
+
+
 def test_silent_consul_is_disconnected_after_timeout():
     consul = Consul()
     consul.query()
