Refuse a malformed entry of the platform's list alone too

A drain or a removal in a list of the platform with one malformed entry never took effect: the watch was closed and reopened after its last version, and got the same list again.

Cause: the parser raised at the first malformed entry. It served configured lists, which are taken whole or not at all, and received ones, which must not be.

Ruled out: that the rest of the list comes another way. A watch that is reopened asks for the changes after the table's version, which the refused list had not moved.

Change: a received list is parsed entry by entry, as Consul's is. The list in the configuration and the table of a handover are still taken as a whole or refused as a whole.

--- a/eiderfield/net/discovery/endpoint_list.py
+++ b/eiderfield/net/discovery/endpoint_list.py
@@ -104,14 +104,29 @@
 
 
 def parse_endpoint_list(document: object) -> EndpointList:
-    """Parse a list in the platform's form; raises `EndpointListError`."""
+    """Parse a list in the platform's form; raises `EndpointListError` if anything in it is malformed."""
+    index, is_snapshot, entries = _parse_frame(document)
+    return EndpointList(index, is_snapshot, tuple([_parse_endpoint(entry) for entry in entries]))
+
+
+def parse_received_list(document: object) -> EndpointList:
+    """Parse a list that the platform has sent, and refuse malformed entries alone.
+
+    Raises `EndpointListError` if the list itself is malformed, or no entry names a worker.
+    """
+    index, is_snapshot, entries = _parse_frame(document)
+    parsed = parse_entries(entries, _parse_endpoint)
+    return EndpointList(index, is_snapshot, parsed.endpoints, parsed.refused)
+
+
+def _parse_frame(document: object) -> tuple[int, bool, list[object]]:
+    """Return the index of a list, whether it is a snapshot, and its entries."""
     if not isinstance(document, dict) or not isinstance(document.get("endpoints"), list):
         raise EndpointListError("a list without endpoints")
     index = document.get("index")
     if not isinstance(index, int) or isinstance(index, bool):
         raise EndpointListError("index is not a whole number")
-    endpoints = tuple([_parse_endpoint(fields) for fields in document["endpoints"]])
-    return EndpointList(index, bool(document.get("snapshot")), endpoints)
+    return index, bool(document.get("snapshot")), document["endpoints"]
 
 
 def _parse_endpoint(fields: object) -> ListedEndpoint:
@@ -121,16 +136,23 @@
     if not isinstance(name, str) or not name:
         raise EndpointListError("an endpoint has no name")
     status = _parse_status(fields.get("status"), name)
+    try:
+        return _parse_fields(fields, name, status)
+    except EndpointListError as error:
+        raise EndpointListError(str(error), endpoint=name, status=status) from None
+
+
+def _parse_fields(fields: Mapping[str, object], name: str, status: EndpointStatus) -> ListedEndpoint:
     group = fields.get("group", 0)
     return ListedEndpoint(
         name=name,
         status=status,
-        address=_parse_address(fields.get("address"), name) if status != EndpointStatus.DELETED else None,
+        address=_parse_address(fields.get("address")) if status != EndpointStatus.DELETED else None,
         zone=str(fields.get("zone", "")),
         kind=str(fields.get("type", "")),
         group=group if isinstance(group, int) and group < FIRST_NAMED_CELL else str(group),
-        weight=_parse_number(fields.get("weight", 1.0), "weight", name),
-        since_ms=_parse_number(fields.get("since_ms", 0), "since_ms", name),
+        weight=_parse_number(fields.get("weight", 1.0), "weight"),
+        since_ms=_parse_number(fields.get("since_ms", 0), "since_ms"),
     )
 
 
@@ -141,14 +163,14 @@
         raise EndpointListError(f"unknown status {value!r}", endpoint=name) from None
 
 
-def _parse_address(value: object, name: str) -> Address:
+def _parse_address(value: object) -> Address:
     try:
         return parse_address(str(value), "address")
     except ConfigError as error:
-        raise EndpointListError(str(error), endpoint=name) from None
+        raise EndpointListError(str(error)) from None
 
 
-def _parse_number(value: object, field: str, name: str) -> float:
+def _parse_number(value: object, field: str) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
-        raise EndpointListError(f"{field} is not a number", endpoint=name)
+        raise EndpointListError(f"{field} is not a number")
     return float(value)
--- a/eiderfield/net/discovery/platform.py
+++ b/eiderfield/net/discovery/platform.py
@@ -4,6 +4,7 @@
 
 import json
 
+from eiderfield.net.discovery.endpoint_list import parse_received_list
 from eiderfield.net.discovery.json_stream import JsonStream
 from eiderfield.net.discovery.watch import MAX_LIST_BYTES, Watch
 from eiderfield.net.http import MalformedMessageError, request_bytes
@@ -36,7 +37,7 @@
         """Apply each complete list. Complete lists and empty lines count as heartbeats."""
         for text in self._stream.feed(data):
             if text:
-                self.table.load(json.loads(text))
+                self.apply_list(parse_received_list(json.loads(text)))
                 self.needs_snapshot = False
             self.table.start_times.record_source_contact()
             self.record_heartbeat()
