Hand over what is known of the source of workers, and for how long workers are kept

What callers saw: requests to workers for longer than 10 s after lists omitted them, if the dispatcher was upgraded meanwhile, or, the other way, 503 for all after an upgrade beside a Consul that had lost its state.

Cause: the index of the last whole list and the beginning of the time for which omitted workers are kept were not part of the handed-over table. The next process could not tell that an index had gone back, and it kept the workers that the previous one had kept as if they were listed.

Ruled out: that the next process learns it by itself. Its first list has an index, but nothing to compare it with, and without a further list nothing ended the time.

Change: the table's state has the source's identity, its index and since when workers are kept (`source`, a field that earlier revisions ignore and do not send). The next process goes on with it if it follows the same source.

--- a/eiderfield/net/discovery/consul.py
+++ b/eiderfield/net/discovery/consul.py
@@ -67,6 +67,12 @@
         self._kept_timer: Timer | None = None  # ends the time for which omitted workers are kept
         self._first_seen: dict[str, float] | None = None  # by instance name; 0 for those in the first list
 
+    def start(self) -> None:
+        """Open the first connection; workers that the previous process kept stay for the rest of the time."""
+        if self.table.kept_since is not None and self.table.source_history is self._history:
+            self._start_kept_timer(self.table.index or 0)
+        super().start()
+
     def connect(self) -> None:
         """Open a connection; its first query does not wait, since another server may answer it."""
         self._index = 0
@@ -162,6 +168,11 @@
                 f"accepted_index={self._history.accepted_index} leader={self._has_leader} "
                 f"timeout_ms={MAX_KEPT_MS:.0f})"
             )
+        self._start_kept_timer(index)
+
+    def _start_kept_timer(self, index: int) -> None:
+        """Remove the kept workers at the time limit; `index` is that of the list that omits them."""
+        assert self.table.kept_since is not None
         if self._kept_timer is None:
             drop = partial(self._drop_kept, index)
             self._kept_timer = self.timers.call_at(self.table.kept_since + MAX_KEPT_MS, drop)
--- a/eiderfield/net/discovery/routing_table.py
+++ b/eiderfield/net/discovery/routing_table.py
@@ -26,7 +26,7 @@
 )
 from eiderfield.net.discovery.source_history import SourceHistory
 from eiderfield.net.start_times import StartTimes
-from eiderfield.net.table_state import EndpointRecord, RoutingTableState, UnbannedWorker
+from eiderfield.net.table_state import EndpointRecord, RoutingTableState, SourceState, UnbannedWorker
 from eiderfield.net.worker_pool import WorkerPool
 
 _STATES = {
@@ -271,8 +271,15 @@
             endpoints=tuple([self._to_record(endpoint) for endpoint in self._endpoints.values()]),
             unbanned_workers=tuple(self._unbanned.values()),
             source_contact_at=self.start_times.source_contact_at,
+            source=self._source_state(),
         )
 
+    def _source_state(self) -> SourceState | None:
+        history = self.source_history
+        if history is None:
+            return None
+        return SourceState(history.source, history.accepted_index, self.kept_since)
+
     def take_over(self, state: RoutingTableState, bans: Mapping[str, float]) -> None:
         """Adopt the table and the bans of the previous process."""
         self.bans.since = dict(bans)
@@ -287,6 +294,9 @@
             endpoints = [record.to_platform_form() for record in state.endpoints]
             self.load({"index": state.index, "snapshot": True, "endpoints": endpoints}, cached=True)
         self.start_times.source_contact_at = state.source_contact_at
+        if state.source is not None:
+            self.source_history = SourceHistory(state.source.source, state.source.accepted_index)
+            self.kept_since = state.source.kept_since
 
     def _adopt_start_times(self, state: RoutingTableState) -> None:
         for record in state.endpoints:
--- a/eiderfield/net/handover/decoder.py
+++ b/eiderfield/net/handover/decoder.py
@@ -28,7 +28,7 @@
     TakeoverRequest,
 )
 from eiderfield.net.handover.sender_clock import SenderClock, estimated_clock, exact_clock
-from eiderfield.net.table_state import EndpointRecord, RoutingTableState, UnbannedWorker
+from eiderfield.net.table_state import EndpointRecord, RoutingTableState, SourceState, UnbannedWorker
 
 MAX_KIND_IN_ERROR = 20  # characters of an unknown message kind that are quoted in an error
 
@@ -211,6 +211,16 @@
         unbanned_workers=tuple(unbanned),
         source_contact_at=None if contact_at is None else sender.convert_past(contact_at),
         announced_offset=None if sender.exact else sender.min_offset,
+        source=_decode_source(fields.nested("source"), sender) if "source" in fields else None,
+    )
+
+
+def _decode_source(fields: Fields, sender: SenderClock) -> SourceState:
+    index, kept_since = fields.required("index"), fields.optional_number("kept_since")
+    return SourceState(
+        source=fields.text("id"),
+        accepted_index=None if index is None else integer(index, "index"),
+        kept_since=None if kept_since is None else sender.convert_past(kept_since),
     )
 
 
--- a/eiderfield/net/handover/encoder.py
+++ b/eiderfield/net/handover/encoder.py
@@ -1,8 +1,8 @@
 """Encoder for the messages of a handover.
 
-The wire form is that of revision 731b84e, recorded in `tests/golden/handover`, with four fields added since:
-`now` in every message that holds times, `started` in an endpoint, `heard` in the routing table, and `names`
-in the state. Processes of that revision ignore these fields and do not send them.
+The wire form is that of revision 731b84e, recorded in `tests/golden/handover`, with five fields added since:
+`now` in every message that holds times, `started` in an endpoint, `heard` and `source` in the routing table,
+and `names` in the state. Processes of that revision ignore these fields and do not send them.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
     TakeoverDelayed,
     TakeoverRequest,
 )
-from eiderfield.net.table_state import EndpointRecord, RoutingTableState
+from eiderfield.net.table_state import EndpointRecord, RoutingTableState, SourceState
 
 WireMessage = dict[str, Any]  # the JSON object that `Link` sends
 
@@ -131,9 +131,19 @@
     }
     if table.source_contact_at is not None:
         fields["heard"] = table.source_contact_at + offset
+    if table.source is not None:
+        fields["source"] = _encode_source(table.source, offset)
     return fields
 
 
+def _encode_source(source: SourceState, offset: float) -> WireMessage:
+    return {
+        "id": source.source,
+        "index": source.accepted_index,
+        "kept_since": None if source.kept_since is None else source.kept_since + offset,
+    }
+
+
 def _encode_endpoint(endpoint: EndpointRecord, offset: float) -> WireMessage:
     started = None if endpoint.started_at is None else endpoint.started_at + offset
     return {**endpoint.to_platform_form(), "started": started}
--- a/eiderfield/net/table_state.py
+++ b/eiderfield/net/table_state.py
@@ -45,6 +45,21 @@
     unbanned_at: float
 
 
+@dataclass(slots=True, frozen=True)
+class SourceState:
+    """What is known of the source whose list was applied last, see `SourceHistory`.
+
+    Attributes:
+        source: Identifies the source.
+        accepted_index: The index of its last list that was applied as a whole, None if there is none.
+        kept_since: Since when workers are kept that its lists omit, None if none are.
+    """
+
+    source: str
+    accepted_index: int | None
+    kept_since: float | None
+
+
 @dataclass(slots=True, frozen=True)
 class RoutingTableState:
     """A routing table with all workers that were ever listed.
@@ -56,6 +71,7 @@
         source_contact_at: When discovery last sent a list or a heartbeat, None if it is unknown.
         announced_offset: An estimate of Unix time minus this process's clock, in ms, at the time when the
             starts were announced; None if the state holds the converted starts.
+        source: The state of the source, None if it has none or the sender does not pass it on.
     """
 
     index: int
@@ -63,3 +79,4 @@
     unbanned_workers: tuple[UnbannedWorker, ...]
     source_contact_at: float | None
     announced_offset: float | None = None
+    source: SourceState | None = None
--- a/tests/support/consul.py
+++ b/tests/support/consul.py
@@ -29,8 +29,8 @@
 class Consul:
     """The stand-in: answers one query at a time."""
 
-    def __init__(self, api: str = "health") -> None:
-        self.dispatcher = InMemoryDispatcher(workers=0)
+    def __init__(self, api: str = "health", dispatcher: InMemoryDispatcher | None = None) -> None:
+        self.dispatcher = dispatcher or InMemoryDispatcher(workers=0)
         place = DiscoverySettings(
             DiscoveryKind.CONSUL, ("127.0.0.1", 8500), "claim workers", api, "secret", 30_000.0
         )
@@ -48,7 +48,9 @@
             dispatcher.logged.append,
         )
         self.settings = settings
-        self.follower.connect()
+        self.follower.start()
+        while not self.dispatcher.dials:
+            self.dispatcher.advance(10.0)
         self.connect()
 
     def reconnect(self) -> None:
--- a/tests/test_consul_interruptions.py
+++ b/tests/test_consul_interruptions.py
@@ -1,10 +1,12 @@
 """A dispatcher's process and Consul on real sockets: lists that are interrupted or malformed."""
 
 import asyncio
+import json
+import signal
 import time
 
 import pytest
-from support.consul_server import consul_play
+from support.consul_server import SERVICE, ConsulServer, consul_play
 
 pytestmark = [pytest.mark.real_time]
 
@@ -70,3 +72,48 @@
     assert late == []
     assert figures["hosts_listed"] == 5
     assert figures["entries_refused"] == 1
+
+
+async def shrink_by_reload(folder):
+    """Move the discovery by SIGHUP to another Consul, which lists fewer workers; return the late requests."""
+    async with consul_play(folder) as play:
+        other = ConsulServer(play.workers[:5])
+        await other.open()
+        await play.send_until(time.monotonic() + 0.3)
+        config = json.loads((folder / "config.json").read_text())
+        config["discovery"] = {"kind": "consul", "address": f"127.0.0.1:{other.port}", "service": SERVICE}
+        (folder / "config.json").write_text(json.dumps(config))
+        play.dispatcher.process.send_signal(signal.SIGHUP)
+        told_at = await other.wait_for_answer(0.0)
+        await play.send_until(told_at + WATCHED_S)
+        await other.close()
+        return play.late_requests(play.workers[5:], told_at)
+
+
+# Regression: the first list after a SIGHUP was set aside for 10 s, since its connection was new (review/3).
+def test_workers_that_another_consul_omits_get_no_requests_after_the_grace(tmp_path):
+    assert asyncio.run(shrink_by_reload(tmp_path)) == []
+
+
+async def shrink_during_upgrade(folder):
+    """Let workers leave while the next process takes over; return the late requests and the clients."""
+    async with consul_play(folder) as play:
+        await play.send_until(time.monotonic() + 0.3)
+        await play.consul.close()
+        await play.consul.set_listed(play.workers[:5])
+        previous = play.dispatcher.process
+        await play.dispatcher.start_next()
+        previous.send_signal(signal.SIGTERM)
+        await previous.wait()
+        began = time.monotonic()
+        await play.consul.open()
+        told_at = await play.consul.wait_for_answer(began)
+        await play.send_until(told_at + WATCHED_S)
+        return play.late_requests(play.workers[5:], told_at), play.clients
+
+
+# Regression: the next process set its first list aside for 10 s, since its connection was new (review/3).
+def test_workers_that_left_during_an_upgrade_get_no_requests_after_the_grace(tmp_path):
+    late, clients = asyncio.run(shrink_during_upgrade(tmp_path))
+    assert late == []
+    assert all(client.outcomes[200] and not client.outcomes["lost"] for client in clients)
