Keep the starts of Consul's workers through a SIGHUP, a handover and an unconfirmed list

What callers saw: after a SIGHUP or an upgrade, workers without since_ms that had just been listed got their full share at once, although their slow start was not over; and after a Consul that had lost its state was back, workers that had been kept all the time were taken for cold ones, so that most requests waited or were rejected.

Cause: the time of the first listing was a fact of the watch. A new watch took every worker of its first list for one that had run for long. An unconfirmed list dropped the times of the workers that it omitted.

Ruled out: announced starts (since_ms). They are kept by StartTimes and handed over.

Change: the start of a listed worker is the routing table's, which outlives watches and is handed over. A worker that the table does not list has just started, unless the list is the first one of its source.

Tests: 3 fail before (another watch, the next process, kept workers), none now; a worker that was removed and is listed again counts as just started, as before.

--- a/eiderfield/net/discovery/consul.py
+++ b/eiderfield/net/discovery/consul.py
@@ -65,7 +65,6 @@
         self._response_index = 0  # index of the response that is being received
         self._has_leader = True  # whether the cluster had a leader at the last response
         self._kept_timer: Timer | None = None  # ends the time for which omitted workers are kept
-        self._first_seen: dict[str, float] | None = None  # by instance name; 0 for those in the first list
 
     def start(self) -> None:
         """Open the first connection; workers that the previous process kept stay for the rest of the time."""
@@ -200,10 +199,14 @@
         self.connection.send_request()
 
     def _with_first_seen(self, endpoints: Iterable[ListedEndpoint]) -> tuple[ListedEndpoint, ...]:
-        """Return endpoints with the times of their first listing, used where their starts are unknown."""
-        names = {endpoint.name for endpoint in endpoints}
-        if self._first_seen is None:
-            self._first_seen = dict.fromkeys(names, 0.0)
-        now = self.clock()
-        first_seen = self._first_seen = {name: self._first_seen.get(name, now) for name in names}
-        return tuple([replace(endpoint, first_seen=first_seen[endpoint.name]) for endpoint in endpoints])
+        """Return endpoints with the times of their first listing, used where their starts are unknown.
+
+        A worker that the table holds keeps its start. Those in the first list of a source may have run for
+        long; one that is listed later has just started.
+        """
+        first_seen = 0.0 if self._history.accepted_index is None else self.clock()
+        return tuple([self._with_known_start(endpoint, first_seen) for endpoint in endpoints])
+
+    def _with_known_start(self, endpoint: ListedEndpoint, default: float) -> ListedEndpoint:
+        started_at = self.table.known_start(endpoint.name)
+        return replace(endpoint, first_seen=default if started_at is None else started_at)
--- a/eiderfield/net/discovery/routing_table.py
+++ b/eiderfield/net/discovery/routing_table.py
@@ -94,6 +94,11 @@
             worker for worker, endpoint in self._endpoints.items() if endpoint.state == EndpointState.READY
         }
 
+    def known_start(self, name: str) -> float | None:
+        """Return when a listed worker started, 0 if that is long ago; None if the worker is not listed."""
+        endpoint = self._find_listed(name)
+        return None if endpoint is None else endpoint.ready_at
+
     @property
     def refused_entries(self) -> tuple[RefusedEntry, ...]:
         """The malformed entries of the present list."""
@@ -158,6 +163,12 @@
         if self.on_ban_changed is not None:
             self.on_ban_changed(name, since)
 
+    def _find_listed(self, name: str) -> Endpoint | None:
+        """Return a worker of the present list, without its ban."""
+        worker = self.ids.find_worker(name)
+        endpoint = None if worker is None else self._endpoints.get(worker)
+        return None if endpoint is None or endpoint.state == EndpointState.GONE else endpoint
+
     def _was_listed(self, name: str) -> bool:
         return name in self.bans.since or self.ids.find_worker(name) in self._endpoints
 
@@ -197,9 +208,8 @@
         """Return the listed workers that malformed entries name, with the states that these give."""
         retained = []
         for entry in refused:
-            worker = self.ids.find_worker(entry.name)
-            endpoint = None if worker is None else self._endpoints.get(worker)
-            if endpoint is not None and endpoint.state != EndpointState.GONE:
+            endpoint = self._find_listed(entry.name)
+            if endpoint is not None:
                 state = endpoint.state if entry.status is None else _STATES[entry.status]
                 retained.append(replace(endpoint, state=state))
         return retained
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -192,11 +192,48 @@
     consul.answer(7, instance("a", 1), instance("c", 3, since_ms="12"))
     consul.dispatcher.advance(100.0)
     consul.answer(8, instance("a", 1), instance("b", 2), instance("c", 3, since_ms="12"))
-    since = {
-        consul.dispatcher.ids.worker_name(w.entry.worker): w.entry.ready_at
-        for w in consul.dispatcher.exchange.dispatcher.workers.values()
+    assert starts(consul) == {"n/a": 0.0, "n/b": consul.dispatcher.now, "n/c": 12.0}
+
+
+def starts(consul):
+    workers = consul.dispatcher.exchange.dispatcher.workers.values()
+    return {
+        consul.dispatcher.ids.worker_name(worker.entry.worker): worker.entry.ready_at for worker in workers
     }
-    assert since == {"n/a": 0.0, "n/b": consul.dispatcher.now, "n/c": 12.0}
+
+
+# Regression: the watch that follows a SIGHUP took workers that had just started for such as had run for long.
+def test_start_of_worker_is_kept_by_another_watch_of_the_source():
+    consul = Consul()
+    consul.answer(7, instance("a", 1))
+    consul.dispatcher.advance(1000.0)
+    consul.answer(8, instance("a", 1), instance("b", 2))
+    listed_at = consul.dispatcher.now
+    consul.follower.stop()
+    consul.follow(replace(consul.settings, token="another"))
+    consul.dispatcher.advance(100.0)
+    consul.answer(9, instance("a", 1), instance("b", 2), instance("c", 3))
+    assert starts(consul) == {"n/a": 0.0, "n/b": listed_at, "n/c": consul.dispatcher.now}
+
+
+# Regression: workers that were kept throughout an unconfirmed list counted as just started when listed again.
+def test_kept_workers_keep_their_starts():
+    consul = Consul()
+    consul.answer(7, instance("a", 1), instance("b", 2))
+    consul.reconnect()
+    consul.answer(2)
+    consul.dispatcher.advance(1100.0)
+    consul.answer(8, instance("a", 1), instance("b", 2))
+    assert starts(consul) == {"n/a": 0.0, "n/b": 0.0}
+
+
+def test_worker_that_is_listed_again_after_a_removal_counts_as_just_started():
+    consul = Consul()
+    consul.answer(7, instance("a", 1), instance("b", 2))
+    consul.answer(8, instance("a", 1))
+    consul.dispatcher.advance(1000.0)
+    consul.answer(9, instance("a", 1), instance("b", 2))
+    assert starts(consul) == {"n/a": 0.0, "n/b": consul.dispatcher.now}
 
 
 def answered_queries(consul, duration, max_queries=400):
--- a/tests/test_consul_handover.py
+++ b/tests/test_consul_handover.py
@@ -55,3 +55,13 @@
     assert len(consul.states()) == 3
     consul.dispatcher.advance(100.0)
     assert not consul.states()
+
+
+# Regression: the next process took a worker that had just started for one that had run for long.
+def test_start_of_worker_is_kept_by_the_next_process(pair):
+    consul = hand_over(pair, (7, *FLEET[:2]), (8, *FLEET))
+    handed_over = [worker.entry.ready_at for worker in consul.dispatcher.exchange.dispatcher.workers.values()]
+    consul.answer(9, *FLEET)
+    workers = consul.dispatcher.exchange.dispatcher.workers.values()
+    assert [worker.entry.ready_at for worker in workers] == handed_over
+    assert sum(at > 0.0 for at in handed_over) == 1
