Let the policy reject a request at its deadline before the exchange fails it

What callers saw: 502 (the request may have run) at the deadline for requests that were never sent, where 503 (it did not run) was due; the log had "request unanswered at its deadline".

Cause: the exchange guards against a policy that does not answer, with a timer at the deadline plus answer_slack. The policy's own timer lies two clock ticks before the deadline, and only posts an event for the next turn. Where both are due in one advance of the wheel, the guard runs first: always in about half of all cases without answer_slack (5 of 9 offsets), and with any slack if the process wakes up later than that.

Ruled out: that the policy had forgotten the request (it rejects it in the turn that follows), and a busy machine as the only reason (it happens on the driven clock).

Change: an overdue request is failed at the end of the next turn, in which the policy has the time of the deadline and rejects what it may. The guard itself stays, one turn later.

--- a/eiderfield/exchange/exchange.py
+++ b/eiderfield/exchange/exchange.py
@@ -90,6 +90,7 @@
         self._events = EventQueue(wake)
         self.endpoints = EndpointTable()
         self.other_process = OtherProcessState(self._events)
+        self._overdue: list[PendingRequest] = []  # since the last turn
         self._requests = RequestTable(self._context, self.metrics, self.other_process)
         self._attempts = AttemptTable(
             self._context, self._events, self._requests, self.other_process, self.metrics
@@ -193,14 +194,18 @@
             )
         # Guards against a fault of the policy, which should answer before the deadline.
         pending.timer = self._context.timers.call_at(
-            request.deadline + self._context.settings.answer_slack_ms,
-            lambda: self._fail_overdue_request(pending),
+            request.deadline + self._context.settings.answer_slack_ms, lambda: self._add_overdue(pending)
         )
         self._events.post(_request_received(pending.id, request, earlier))
         return pending.id
 
+    def _add_overdue(self, pending: PendingRequest) -> None:
+        """Let the policy answer a request in the next turn, since its own timer may be due just now."""
+        self._overdue.append(pending)
+        self._wake()
+
     def _fail_overdue_request(self, pending: PendingRequest) -> None:
-        """Fail a request that the policy has not answered by its deadline."""
+        """Fail a request that the policy has not answered in a turn after its deadline."""
         if pending.answered:
             return
         self._context.log(f"exchange: request unanswered at its deadline (request={pending.id})")
@@ -308,6 +313,9 @@
                     pending.started_at = pending.started_at or now
         self._requests.record_times(now)
         self._actions.execute(self.dispatcher.handle(now, events), now)
+        overdue, self._overdue = self._overdue, []
+        for pending in overdue:
+            self._fail_overdue_request(pending)
 
 
 def _request_received(
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -10,6 +10,7 @@
 
 from eiderfield.interface import MAX_WRITE_DELAY_MS, Effect, Scope, StartAttempt
 from eiderfield.net.loop import Driver
+from eiderfield.net.wheel import TICK_MS
 
 SLACK_MS = 150.0  # by which a deadline announced to a worker may exceed the client's (standing test)
 READING_MS = 50.0  # time that reading a request may take (protocol page)
@@ -188,6 +189,29 @@
     assert SITE.classes[1].effect == Effect.UNSAFE
 
 
+# Regression: a request that was never sent got 502 where the policy's rejection was due in the same moment.
+@pytest.mark.parametrize("late", [0.0, 2.0, 10.0, 140.0])
+@pytest.mark.parametrize("answer_slack", [0.0, 8.0])
+@pytest.mark.parametrize("offset", [0.0, 1.0, 2.0, 3.0])
+def test_waiting_request_is_rejected_at_its_deadline_even_if_the_process_is_late(offset, answer_slack, late):
+    site = replace(SITE, clock_resolution_ms=1.0, answer_slack_ms=answer_slack)
+    dispatcher = InMemoryDispatcher(site, workers=0)
+    dispatcher.tell((1, "DRAINING"), snapshot=True)
+    dispatcher.advance(offset)
+    client = dispatcher.client(wait=1000)
+    dispatcher.advance(990.0)
+    assert not client.answers()
+    dispatcher.now += 10.0 + answer_slack + late  # no timer is called meanwhile
+    for _ in range(3):
+        dispatcher.wheel.advance(dispatcher.now)
+        dispatcher.settle()
+        dispatcher.now += TICK_MS
+    [(status, _, body)] = client.answers()
+    assert (status, body) == (503, b"declined\n")
+    assert not dispatcher.exchange.metrics.prevented_violations
+    assert dispatcher.logged == []
+
+
 class Discovery:
     """A watch on a real socket; a byte that arrives on it reports that the worker drains."""
 
