Keep a draining worker out of service while its entry is malformed

With an address that cannot be read, nobody knows that the worker at the last one is back.

Change: a refused entry may drain or remove a listed worker, but makes none ready that was not.

--- a/eiderfield/net/discovery/endpoint_list.py
+++ b/eiderfield/net/discovery/endpoint_list.py
@@ -58,7 +58,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RefusedEntry:
-    """A malformed entry of a list. A worker that it names is listed, and keeps what is not given here.
+    """A malformed entry of a list. A worker that it names is listed, and drains if the entry says so.
 
     Attributes:
         name: The name of the worker, empty if the entry does not say which worker it is.
--- a/eiderfield/net/discovery/routing_table.py
+++ b/eiderfield/net/discovery/routing_table.py
@@ -205,13 +205,18 @@
             self.on_list_applied()
 
     def retained_endpoints(self, refused: Iterable[RefusedEntry]) -> list[Endpoint]:
-        """Return the listed workers that malformed entries name, with the states that these give."""
+        """Return the listed workers that malformed entries name.
+
+        Such an entry may drain or remove a worker, but it makes none ready that was not.
+        """
         retained = []
         for entry in refused:
             endpoint = self._find_listed(entry.name)
-            if endpoint is not None:
-                state = endpoint.state if entry.status is None else _STATES[entry.status]
-                retained.append(replace(endpoint, state=state))
+            if endpoint is None:
+                continue
+            if entry.status is not None and entry.status != EndpointStatus.SERVING:
+                endpoint = replace(endpoint, state=_STATES[entry.status])
+            retained.append(endpoint)
         return retained
 
     def _begin_snapshot(self, listed: set[int]) -> None:
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -126,6 +126,17 @@
     assert len(consul.dispatcher.side.addresses) == 2
 
 
+# Regression: a malformed entry that is passing put a draining worker back into service at its last address.
+def test_malformed_entry_does_not_bring_a_draining_worker_back():
+    consul = Consul()
+    consul.query()
+    consul.answer(7, instance("a", 1, "critical"), instance("b", 2))
+    consul.answer(8, {**instance("a", 1), "Service": {"ID": "a"}}, instance("b", 2))
+    assert consul.states() == {"n/a": EndpointState.DRAINING, "n/b": EndpointState.READY}
+    consul.answer(9, instance("a", 1), instance("b", 2))
+    assert consul.states()["n/a"] == EndpointState.READY
+
+
 def test_malformed_entry_of_unlisted_worker_adds_no_worker():
     consul = Consul()
     consul.query()
