Read Consul's list instance by instance, so that one of 3,200 workers is applied

What callers saw: with 3,200 workers in Consul the dispatcher was never ready; one that grew beyond some 2,600 kept its old list for good, gone workers included ("watch reopened ... a list is too long", again and again).

Cause: an answer might have 4 MiB, and an instance has 1.6 KB in Consul's published form. The limit was there because the whole body was held, then decoded at once.

Ruled out: a higher limit alone.

Change: a reader of JSON arrays returns each instance when it is complete, and only the typed endpoint is kept.

--- a/eiderfield/errors.py
+++ b/eiderfield/errors.py
@@ -9,6 +9,7 @@
     ├── ExchangeError             exchange/errors.py: a call that the exchange refuses
     ├── HandoverError             net/handover/errors.py: the handover to the next process failed
     ├── EndpointListError         net/discovery/endpoint_list.py: an endpoint list is malformed
+    ├── JsonArrayError            net/discovery/json_array.py: a list in JSON is malformed or too long
     ├── MalformedMessageError     net/http/message.py: an HTTP message is malformed
     ├── DurableRequestsError      durable_requests/errors.py: the shared folder or a store is unusable
     ├── DrmaaError                batch/drmaa.py: an error of the batch interface, as DRMAA names it
--- a/eiderfield/net/discovery/consul.py
+++ b/eiderfield/net/discovery/consul.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from functools import partial
@@ -23,12 +22,12 @@
 from eiderfield.net.discovery.consul_instances import parse_catalog_entry, parse_health_entry
 from eiderfield.net.discovery.endpoint_list import (
     EndpointList,
-    EndpointListError,
     EndpointStatus,
+    EntryParser,
     ListedEndpoint,
     ParsedEntries,
-    parse_entries,
 )
+from eiderfield.net.discovery.json_array import JsonArrayReader
 from eiderfield.net.discovery.routing_table import RoutingTable
 from eiderfield.net.discovery.settings import ConsulApi, DiscoverySettings
 from eiderfield.net.discovery.source_history import SourceHistory
@@ -40,6 +39,7 @@
 RESPONSE_SLACK_MS = 2000.0  # time for a response after the extended wait has ended
 REPEAT_INTERVAL_MS = 1000.0  # delay before a query that does not block
 MAX_INDEX_DIGITS = 20
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024  # an instance has some 2 KB; a fleet may have thousands of workers
 MS_PER_SECOND = 1000.0
 
 
@@ -64,6 +64,7 @@
         self._index = 0  # the next query waits for changes after this index; 0 stands for no wait
         self._response_index = 0  # index of the response that is being received
         self._has_leader = True  # whether the cluster had a leader at the last response
+        self._begin_response()
         self._kept_timer: Timer | None = None  # ends the time for which omitted workers are kept
 
     def start(self) -> None:
@@ -101,12 +102,21 @@
             raise MalformedMessageError("X-Consul-Index is not a whole number")
         self._response_index = int(text)
         self._has_leader = head.get("x-consul-knownleader") != "false"
-        self.body.clear()
+        self._begin_response()
+
+    def on_body(self, data: bytes) -> None:
+        """Parse the instances that are complete; raises `ValueError` if the list is malformed or too long."""
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            raise MalformedMessageError("a list is too long")
+        self._add_entries(self._reader.feed(data))
 
     def on_end(self) -> None:
-        """Apply the list and schedule the next query; raises `EndpointListError`."""
+        """Apply the list and schedule the next query; raises `ValueError` if it is malformed."""
         self.record_heartbeat()
-        entries = self._parse_entries()
+        self._add_entries(self._reader.finish())
+        entries = self._entries.finish()
+        self._begin_response()
         # After a restart of Consul, or the restoration of a snapshot, its indexes begin at lower values: a
         # query with the old index would wait forever.
         self._index = 0 if self._history.has_gone_back(self._response_index) else self._response_index
@@ -117,13 +127,15 @@
         else:
             self.set_timer(REPEAT_INTERVAL_MS, self._query)
 
-    def _parse_entries(self) -> ParsedEntries:
-        answer: object = json.loads(self.body)
-        self.body.clear()
-        if not isinstance(answer, list):
-            raise EndpointListError("the answer is not a list")
-        parse = parse_health_entry if self._discovery.api == ConsulApi.HEALTH else parse_catalog_entry
-        return parse_entries(answer, parse)
+    def _begin_response(self) -> None:
+        is_health = self._discovery.api == ConsulApi.HEALTH
+        self._body_bytes = 0
+        self._reader = JsonArrayReader()
+        self._entries = EntryParser(parse_health_entry if is_health else parse_catalog_entry)
+
+    def _add_entries(self, entries: Iterable[object]) -> None:
+        for entry in entries:
+            self._entries.add(entry)
 
     def _find_history(self) -> SourceHistory:
         """Return the history that the table holds of this source, which an earlier watch may have begun."""
--- a/eiderfield/net/discovery/endpoint_list.py
+++ b/eiderfield/net/discovery/endpoint_list.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from math import isfinite
@@ -89,18 +89,30 @@
     refused: tuple[RefusedEntry, ...]
 
 
-def parse_entries(entries: Iterable[object], parse: Callable[[object], ListedEndpoint]) -> ParsedEntries:
-    """Parse the entries of a list one by one; raises `EndpointListError` if there are some, but no names."""
-    endpoints, refused, first_error = [], [], None
-    for entry in entries:
+class EntryParser:
+    """Parses the entries of a list one by one."""
+
+    def __init__(self, parse: Callable[[object], ListedEndpoint]) -> None:
+        """Create a parser; `parse` raises `EndpointListError` for a malformed entry."""
+        self._parse = parse
+        self._endpoints: list[ListedEndpoint] = []
+        self._refused: list[RefusedEntry] = []
+        self._first_error: EndpointListError | None = None
+
+    def add(self, entry: object) -> None:
+        """Parse an entry, or refuse it alone."""
         try:
-            endpoints.append(parse(entry))
+            self._endpoints.append(self._parse(entry))
         except EndpointListError as error:
-            refused.append(RefusedEntry(error.endpoint, error.status, str(error)))
-            first_error = first_error or error
-    if first_error is not None and not endpoints and not any(entry.name for entry in refused):
-        raise first_error
-    return ParsedEntries(tuple(endpoints), tuple(refused))
+            self._refused.append(RefusedEntry(error.endpoint, error.status, str(error)))
+            self._first_error = self._first_error or error
+
+    def finish(self) -> ParsedEntries:
+        """Return all entries; raises `EndpointListError` if there are some, but none names a worker."""
+        names_worker = self._endpoints or any(entry.name for entry in self._refused)
+        if self._first_error is not None and not names_worker:
+            raise self._first_error
+        return ParsedEntries(tuple(self._endpoints), tuple(self._refused))
 
 
 def parse_endpoint_list(document: object) -> EndpointList:
@@ -115,7 +127,10 @@
     Raises `EndpointListError` if the list itself is malformed, or no entry names a worker.
     """
     index, is_snapshot, entries = _parse_frame(document)
-    parsed = parse_entries(entries, _parse_endpoint)
+    parser = EntryParser(_parse_endpoint)
+    for entry in entries:
+        parser.add(entry)
+    parsed = parser.finish()
     return EndpointList(index, is_snapshot, parsed.endpoints, parsed.refused)
 
 
--- a/eiderfield/net/discovery/platform.py
+++ b/eiderfield/net/discovery/platform.py
@@ -6,9 +6,11 @@
 
 from eiderfield.net.discovery.endpoint_list import parse_received_list
 from eiderfield.net.discovery.json_stream import JsonStream
-from eiderfield.net.discovery.watch import MAX_LIST_BYTES, Watch
+from eiderfield.net.discovery.watch import Watch
 from eiderfield.net.http import MalformedMessageError, request_bytes
 
+MAX_LIST_BYTES = 4 * 1024 * 1024  # size of a list of thousands of workers
+
 
 class PlatformWatch(Watch):
     """A watch of the platform's discovery.
--- a/eiderfield/net/discovery/watch.py
+++ b/eiderfield/net/discovery/watch.py
@@ -31,7 +31,6 @@
 from eiderfield.net.http import Head, MalformedMessageError
 
 HEARTBEAT_TIMEOUT_MS = 2600.0  # the platform sends an empty line every 2 s
-MAX_LIST_BYTES = 4 * 1024 * 1024  # size of a list of thousands of workers
 
 # Losses after which the next call is made at once, so that it is pending when the source recovers.
 _RECONNECT_AT_ONCE = (LossReason.SILENT, LossReason.UNREACHABLE)
@@ -64,7 +63,6 @@
         self.address = address
         self.clock = clock
         self.log = log
-        self.body = bytearray()  # the received part of the response body
         self.connection: WatchConnection | None = None
         self.timers = timers
         self._dial = dial
@@ -83,10 +81,8 @@
             raise MalformedMessageError(f"the answer is {head.status}")
 
     def on_body(self, data: bytes) -> None:
-        """Store a part of a response body; raises `MalformedMessageError` if it is too long."""
-        self.body += data
-        if len(self.body) > MAX_LIST_BYTES:
-            raise MalformedMessageError("a list is too long")
+        """Handle a part of a response body; raises `ValueError` if it is malformed or too long."""
+        raise NotImplementedError
 
     def on_end(self) -> None:
         """Handle the end of a response."""
@@ -104,7 +100,6 @@
     def connect(self) -> None:
         """Open a connection."""
         connection = self.connection = WatchConnection(self)
-        self.body.clear()
         lost = partial(self.on_lost, connection)
         self.set_timer(SOURCE_DIAL_TIMEOUT_MS, partial(lost, LossReason.UNREACHABLE, "dial timed out"))
         refused = partial(lost, LossReason.REFUSED, "connection refused")
--- a/tests/support/consul.py
+++ b/tests/support/consul.py
@@ -26,6 +26,59 @@
     }
 
 
+def published_instance(number: int) -> dict[str, Any]:
+    """Return an instance with all fields of Consul's published form, some 1,600 bytes."""
+    node, id_, padding = f"node-{number:05d}", f"worker-{number:05d}", "x" * 150
+    check = {
+        "Node": node,
+        "CheckID": f"service:{id_}",
+        "Name": "Service 'claim workers' check",
+        "Status": "passing",
+        "Notes": "",
+        "Output": f"HTTP GET http://127.0.0.9:8000/health: 200 OK Output: {padding}",
+        "ServiceID": id_,
+        "ServiceName": "claim workers",
+        "ServiceTags": ["primary", "v1"],
+        "Type": "http",
+        "Interval": "10s",
+        "Timeout": "1s",
+        "ExposedPort": 0,
+        "Definition": {},
+        "CreateIndex": 14,
+        "ModifyIndex": 21,
+    }
+    addresses = dict.fromkeys(("lan", "lan_ipv4", "wan", "wan_ipv4"), "127.0.0.9")
+    return {
+        "Node": {
+            "ID": f"40e4a748-2192-161a-0510-{number:012d}",
+            "Node": node,
+            "Address": "127.0.0.9",
+            "Datacenter": "dc1",
+            "TaggedAddresses": addresses,
+            "Meta": {"consul-network-segment": "", "instance_type": "m2.large"},
+            "CreateIndex": 6,
+            "ModifyIndex": 7,
+        },
+        "Service": {
+            "ID": id_,
+            "Service": "claim workers",
+            "Tags": ["primary", "v1"],
+            "Address": "",
+            "TaggedAddresses": {name: {"address": "127.0.0.9", "port": 8000} for name in addresses},
+            "Meta": {"zone": "kochi", "type": "m2", "group": "3"},
+            "Port": 1 + number,
+            "Weights": {"Passing": 10, "Warning": 1},
+            "EnableTagOverride": False,
+            "Proxy": {"Mode": "", "MeshGateway": {}, "Expose": {}},
+            "Connect": {},
+            "PeerName": "",
+            "CreateIndex": 14,
+            "ModifyIndex": 14,
+        },
+        "Checks": [{**check, "CheckID": "serfHealth", "Type": ""}, check],
+    }
+
+
 class Consul:
     """The stand-in: answers one query at a time."""
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -4,10 +4,10 @@
 from dataclasses import replace
 
 import pytest
-from support.consul import Consul, instance
+from support.consul import Consul, instance, published_instance
 
 from eiderfield.interface import EndpointState
-from eiderfield.net.discovery.consul import MAX_KEPT_MS, RESPONSE_SLACK_MS
+from eiderfield.net.discovery.consul import MAX_KEPT_MS, MAX_RESPONSE_BYTES, RESPONSE_SLACK_MS
 
 
 def test_health_api_is_followed_by_blocking_queries():
@@ -189,6 +189,28 @@
     assert worker.entry.weight == 1.0
 
 
+# Regression: the list of a fleet of 3,200 workers was refused for its size, again and again.
+def test_list_of_thousands_of_workers_is_applied():
+    consul = Consul()
+    consul.query()
+    body = json.dumps([published_instance(number) for number in range(3200)]).encode()
+    assert len(body) > 5_000_000
+    consul.answer(7, raw=body)
+    assert len(consul.states()) == 3200
+    consul.answer(8, published_instance(0))
+    assert list(consul.states()) == ["node-00000/worker-00000"]
+
+
+def test_endless_response_is_refused():
+    consul = Consul()
+    consul.query()
+    consul.answer(7, instance("a", 1))
+    consul.answer(8, raw=b" " * (MAX_RESPONSE_BYTES + 1))
+    assert not consul.pipe.open
+    assert consul.states() == {"n/a": EndpointState.READY}
+    assert "a list is too long" in consul.dispatcher.logged[-1]
+
+
 def test_silent_consul_is_disconnected_after_timeout():
     consul = Consul()
     consul.query()
