Wait longer for every second call to a discovery that does not respond

What callers saw: with a discovery that takes 3 s for each answer the dispatcher never got a list: no worker, or the old ones, drained and removed ones included, for as long as it was slow.

Cause: a call without a first list within the heartbeat timeout of 2.6 s was given up, and the next one had the same time.

Ruled out: a longer timeout for all calls. A watch that falls silent must be noticed after 2.6 s, and a query that was lost in a cut must be repeated so that its list is here within 6 s.

Change: after a call without any response the next one waits for 4.4 s, the longest wait that keeps the 6 s if its query was lost too, then 2.6 s again, in turn. Any response starts the turn anew.

Tests: three lists in a row from such a source, each within 6 s of the loss; it fails before with no list at all. The test that a silent source has a call pending all the time, and six to nine calls in 20 s, holds as it stands.

--- a/eiderfield/net/discovery/watch.py
+++ b/eiderfield/net/discovery/watch.py
@@ -13,6 +13,9 @@
 - Only a response that is complete and well-formed changes the table; of its entries, only those that are.
 - A connection attempt or a request is always pending at a source that does not answer.
 - No wait exceeds the limits of `Backoff`.
+
+A source that sends no first response within the heartbeat timeout may be silent or slow. Until it responds,
+calls to it wait for `SLOW_RESPONSE_TIMEOUT_MS` and for the heartbeat timeout in turn.
 """
 
 from __future__ import annotations
@@ -23,7 +26,7 @@
 
 from eiderfield.config.address import Address
 from eiderfield.exchange.timers import Timer, Timers
-from eiderfield.net.backoff import SOURCE_DIAL_TIMEOUT_MS, Backoff
+from eiderfield.net.backoff import MAX_WAIT_MS, SOURCE_DIAL_TIMEOUT_MS, Backoff
 from eiderfield.net.dialing import Dial, PendingDial
 from eiderfield.net.discovery.endpoint_list import EndpointList
 from eiderfield.net.discovery.routing_table import RoutingTable
@@ -31,6 +34,9 @@
 from eiderfield.net.http import Head, MalformedMessageError
 
 HEARTBEAT_TIMEOUT_MS = 2600.0  # the platform sends an empty line every 2 s
+# Time for the first response of a slow source. A query that it has lost is repeated after this time, and its
+# list is received within `NOTIFICATION_DEADLINE_MS` (`backoff`) all the same.
+SLOW_RESPONSE_TIMEOUT_MS = MAX_WAIT_MS
 
 # Losses after which the next call is made at once, so that it is pending when the source recovers.
 _RECONNECT_AT_ONCE = (LossReason.SILENT, LossReason.UNREACHABLE)
@@ -68,6 +74,8 @@
         self._dial = dial
         self._pending_dial: PendingDial | None = None
         self._timer: Timer | None = None
+        self._is_slow = False  # whether the next call waits for `SLOW_RESPONSE_TIMEOUT_MS`
+        self._has_responded = False  # on the present connection
 
     # Overridden by each kind of source.
 
@@ -99,6 +107,7 @@
 
     def connect(self) -> None:
         """Open a connection."""
+        self._has_responded = False
         connection = self.connection = WatchConnection(self)
         lost = partial(self.on_lost, connection)
         self.set_timer(SOURCE_DIAL_TIMEOUT_MS, partial(lost, LossReason.UNREACHABLE, "dial timed out"))
@@ -114,13 +123,16 @@
     def on_connected(self, connection: WatchConnection) -> None:
         """Wait for the first heartbeat of an established connection."""
         if connection is self.connection:
-            self._start_heartbeat_timer(connection)
+            slow_timeout = max(self.heartbeat_timeout, SLOW_RESPONSE_TIMEOUT_MS)
+            self._start_heartbeat_timer(connection, slow_timeout if self._is_slow else self.heartbeat_timeout)
 
     def on_lost(self, connection: WatchConnection, reason: LossReason, detail: str) -> None:
         """Close a lost connection; open the next one after a wait that depends on `reason`."""
         if connection.closed or connection is not self.connection:
             return
         self._close_connection()
+        if reason == LossReason.SILENT and not self._has_responded:
+            self._is_slow = not self._is_slow
         self.table.watches_reopened[reason.value] += 1
         wait = 0.0 if reason in _RECONNECT_AT_ONCE else self.backoff.next_wait(self.clock())
         self.log(
@@ -132,8 +144,9 @@
     def record_heartbeat(self) -> None:
         """Record a list or a heartbeat of the source."""
         self.backoff.record_success()
+        self._has_responded, self._is_slow = True, False
         if self.connection is not None:
-            self._start_heartbeat_timer(self.connection)
+            self._start_heartbeat_timer(self.connection, self.heartbeat_timeout)
 
     def apply_list(self, endpoint_list: EndpointList) -> None:
         """Apply a list to the table, and log its malformed entries unless they were malformed before."""
@@ -157,9 +170,9 @@
             self._timer.cancel()
         self._timer = self.timers.call_at(self.clock() + wait, callback)
 
-    def _start_heartbeat_timer(self, connection: WatchConnection) -> None:
+    def _start_heartbeat_timer(self, connection: WatchConnection, timeout: float) -> None:
         silent = partial(self.on_lost, connection, LossReason.SILENT, "no heartbeat")
-        self.set_timer(self.heartbeat_timeout, silent)
+        self.set_timer(timeout, silent)
 
     def _close_connection(self) -> None:
         if self.connection is not None:
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -207,6 +207,22 @@
     assert 6 <= calls <= 9, "the source is not called more often than needed"
 
 
+# Regression: a discovery that takes 3 s for each answer was called again after 2.6 s, so its list never came.
+def test_list_of_source_that_takes_3_s_for_each_answer_is_received_in_time():
+    dispatcher = start_watch(0, 3, sharers=1)
+    for index, status in ((4, "DRAINING"), (5, "SERVING"), (6, "DRAINING")):
+        called_at, began = {}, dispatcher.now
+        while dispatcher.table.index != index and dispatcher.now < began + NOTIFICATION_DEADLINE_MS:
+            while dispatcher.dials:
+                called_at[dispatcher.dials[0].up()] = dispatcher.now
+            for feed, at in called_at.items():
+                if feed.pipe.open and dispatcher.now >= at + 3000.0:
+                    feed.pipe.send(HEAD + chunk(endpoint_list(status, index)))
+            dispatcher.advance(50.0)
+        assert dispatcher.table.index == index
+        dispatcher.ends[-1].pipe.break_off()
+
+
 @pytest.mark.parametrize(
     "malformed", [b"garbage\n", b'{"index":1}\n', b'{"index":"x","endpoints":[]}\n', b"[]\n"]
 )
