Move a client connection's byte count and its listener's interface to modules

The bytes that a connection holds are counted by ConnectionMemory, and what it asks of its listener stands in connection_owner.py.

--- a/eiderfield/net/clients/connection.py
+++ b/eiderfield/net/clients/connection.py
@@ -20,33 +20,28 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
 from functools import partial
-from typing import Protocol
 
 from eiderfield.connections.admission import Reason, Rejection
 from eiderfield.connections.idle_connections import unread_bytes, unsent_bytes
 from eiderfield.net.clients.connection_admission import ConnectionAdmission
-from eiderfield.net.clients.connection_table import ConnectionTable
-from eiderfield.net.clients.connection_timer import ConnectionTimer, TimerSettings
-from eiderfield.net.clients.deferred_reads import DeferredReads
-from eiderfield.net.clients.detached import ConnectionHandover, Detach, DetachedConnection
+from eiderfield.net.clients.connection_memory import ConnectionMemory
+from eiderfield.net.clients.connection_owner import ConnectionOwner
+from eiderfield.net.clients.connection_timer import ConnectionTimer
+from eiderfield.net.clients.detached import ConnectionHandover, DetachedConnection
 from eiderfield.net.clients.flow_control import FlowControl
-from eiderfield.net.clients.front import ClientDisconnectCallback, Front, ListenerStatus
+from eiderfield.net.clients.front import ClientDisconnectCallback
 from eiderfield.net.clients.message_reader import MessageReader
-from eiderfield.net.clients.turn_figures import TurnFigures
-from eiderfield.net.departures import DepartureWatch, has_peer_closed
+from eiderfield.net.departures import has_peer_closed
 from eiderfield.net.http import Head, MalformedMessageError, response_bytes
-from eiderfield.net.memory_budget import MemoryBudget, MemoryPart
 
 LINGER_TIME_MS = 1000.0  # time for which input is discarded, so that the last response arrives
 MAX_DISCARDED_BYTES = 262_144  # meanwhile; more input stays unread, since 60 MB of it used a CPU core
 MAX_PIPELINED_BYTES = 16384  # unparsed bytes while a response is due, above which reading pauses
 ELEMENTS_PER_TURN = 64  # chunks and lines of one connection parsed in a turn of the loop
 MESSAGES_PER_TURN = 16  # messages of one connection handled in a turn of the loop
-SMALL_REQUEST_BYTES = 4096  # requests up to this size are accepted also while memory is scarce
 MEMORY_RETRY_AFTER_MS = 1000.0  # advised to a client that is refused for lack of memory
 STALLED_RESPONSE_MS = 500.0  # after which a response that the client does not read may be given up
 EVICTION_GRACE_MS = 500.0  # an incomplete message or an undelivered response prevents eviction so long
@@ -67,63 +62,6 @@
     CLOSED = 3
 
 
-class ConnectionOwner(ListenerStatus, TimerSettings, Protocol):
-    """The listener of a connection: its settings, and what the connection reports to it."""
-
-    @property
-    def front(self) -> Front:
-        """Handles the messages."""
-
-    @property
-    def open_connections(self) -> ConnectionTable[ClientConnection]:
-        """The connections of the listener, by the order of their eviction."""
-
-    @property
-    def departures(self) -> DepartureWatch | None:
-        """Watches connections that are not read; None before the listener is open."""
-
-    @property
-    def memory(self) -> MemoryBudget:
-        """Counts the bytes that the connection holds."""
-
-    @property
-    def deferred_reads(self) -> DeferredReads:
-        """Continues messages that take many turns."""
-
-    @property
-    def turns(self) -> TurnFigures:
-        """Records the work of each turn."""
-
-    @property
-    def keep_alive_disabled(self) -> bool:
-        """Whether each response closes its connection."""
-
-    @property
-    def successor(self) -> Callable[[Detach], bool] | None:
-        """Passes a connection to the next process between requests, None while there is no handover."""
-
-    def remove(self, connection: ClientConnection) -> None:
-        """Release what a closed connection holds."""
-
-    def park(self, connection: ClientConnection) -> bool:
-        """Park an idle connection; return whether it was possible."""
-
-    def hand_over(self, connection: ClientConnection) -> bool:
-        """Pass a connection to the next process; return whether it was possible."""
-
-    def report_cut_off(self, connection: ClientConnection, reason: Reason) -> None:
-        """Count and log a connection that this process ends for a reason of its own."""
-
-    def count_disconnect(self) -> None:
-        """Count a client that disconnected before its response."""
-
-    def count_discarded_input(self) -> None:
-        """Count a connection with input that was discarded after its last response."""
-
-    def report_fault(self, error: Exception) -> None:
-        """Log an error that a front raised."""
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection. It takes one message at a time."""
 
@@ -165,8 +103,7 @@
         self._throttled = False  # whether no messages are handled for now
         self._discarded_bytes = 0
         self._response_written_at = now
-        self._memory = listener.memory.open_account(MemoryPart.CLIENTS)
-        self._request_bytes = 0  # memory of the request that was passed to the front
+        self._memory = ConnectionMemory(listener.memory, self._reader)
         # Whether any response was written; after a handover one may have been written before.
         self._response_written = handover is not None
         self._timer.restart(self.proven, self._idle_since, self._idle_since)
@@ -178,7 +115,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._flow.open(transport)
-        self.update_held_bytes()
+        self._memory.open(transport)
         if self.phase == Phase.CLOSED:  # evicted before it had a transport; its descriptor must not leak
             transport.abort()
         elif self.rejection is not None:
@@ -260,8 +197,7 @@
         self._transport.write(response_bytes(status, body, keep_alive, **headers))
         self._response_written = True
         self._response_written_at = self.listener.clock()
-        self._request_bytes = 0
-        self.update_held_bytes()
+        self._memory.end_request()
         if not keep_alive:
             self._start_lingering()
             return
@@ -306,7 +242,7 @@
     @property
     def stalls_response(self) -> bool:
         """Whether the client has not read its last response for some time."""
-        if self._transport is None or not self._transport.get_write_buffer_size():
+        if not self._memory.unsent_bytes:
             return False
         return self.listener.clock() >= self._response_written_at + STALLED_RESPONSE_MS
 
@@ -366,8 +302,7 @@
     @property
     def held_bytes(self) -> int:
         """About how many bytes of memory the connection holds: received, requested, not yet sent."""
-        unsent = 0 if self._transport is None else self._transport.get_write_buffer_size()
-        return self._reader.held_bytes + self._request_bytes + unsent
+        return self._memory.held_bytes
 
     @property
     def silent_ms(self) -> float:
@@ -385,7 +320,7 @@
 
     def update_held_bytes(self) -> None:
         """Report to the memory budget how many bytes the connection holds now."""
-        self._memory.update(0 if self.phase == Phase.CLOSED else self.held_bytes)
+        self._memory.update()
 
     @property
     def _has_unread_bytes(self) -> bool:
@@ -457,7 +392,7 @@
         self.admission.end_message()
         self._flow.close()
         self._reader.clear()
-        self.update_held_bytes()
+        self._memory.close()
         self.listener.remove(self)
 
     def _start_lingering(self) -> None:
@@ -571,8 +506,7 @@
         self.phase = Phase.WAITING
         self._keep_alive = head.keep_alive
         body = self._reader.take_body()
-        self._request_bytes = len(body) + len(head.target)
-        if not self._has_room_for_request():
+        if not self._memory.has_room_for_request(len(body) + len(head.target)):
             self._refuse_for_memory(Reason.MEMORY_REQUEST)
             return
         try:
@@ -587,11 +521,6 @@
             self._on_disconnect = on_disconnect
             self.listener.open_connections.mark_busy(self)
 
-    def _has_room_for_request(self) -> bool:
-        """Return whether there is memory for the request that is to be passed to the front."""
-        self.update_held_bytes()
-        return self._request_bytes <= SMALL_REQUEST_BYTES or self.listener.memory.make_room_for_requests()
-
     def _begin_message(self) -> None:
         """Start the time limit of an incomplete message, and count it in admission control."""
         if self.proven:  # else the limit runs since the connection was accepted, however slowly bytes arrive
