--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -445,3 +445,17 @@
     consul.answer(8)
     assert not consul.states()
     assert consul.dispatcher.table.unconfirmed_removals == 0
+
+
+def test_banned_worker_that_is_omitted_and_listed_again_stays_banned():
+    consul = Consul()
+    consul.query()
+    consul.answer(7, instance("a", 1), instance("b", 2))
+    consul.dispatcher.table.ban("n/a")
+    for index, listed in ((8, False), (9, True)):
+        consul.reconnect()
+        consul.query()
+        consul.answer(index, *([instance("a", 1)] if listed else []), instance("b", 2))
+        assert consul.states().get("n/a") == (EndpointState.DRAINING if listed else None)
+    consul.dispatcher.table.unban("n/a")
+    assert consul.states()["n/a"] == EndpointState.READY
