Untie a client connection from its listener's interface, and reword the drawn orders

The interface named the class that uses it, a circle of imports for type checks only. No behaviour changes.

--- a/eiderfield/net/clients/connection.py
+++ b/eiderfield/net/clients/connection.py
@@ -67,7 +67,7 @@
 
     def __init__(
         self,
-        listener: ConnectionOwner,
+        listener: ConnectionOwner[ClientConnection],
         sock: socket.socket | None = None,
         handover: ConnectionHandover | None = None,
         ticket: int | None = None,
--- a/eiderfield/net/clients/connection_owner.py
+++ b/eiderfield/net/clients/connection_owner.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from eiderfield.connections.admission import Reason
-from eiderfield.net.clients.connection_table import ConnectionTable
+from eiderfield.net.clients.connection_table import ConnectionT, ConnectionTable
 from eiderfield.net.clients.connection_timer import TimerSettings
 from eiderfield.net.clients.deferred_reads import DeferredReads
 from eiderfield.net.clients.detached import Detach
@@ -15,11 +15,8 @@
 from eiderfield.net.departures import DepartureWatch
 from eiderfield.net.memory_budget import MemoryBudget
 
-if TYPE_CHECKING:
-    from eiderfield.net.clients.connection import ClientConnection
 
-
-class ConnectionOwner(ListenerStatus, TimerSettings, Protocol):
+class ConnectionOwner(ListenerStatus, TimerSettings, Protocol[ConnectionT]):
     """The listener of a connection: its settings, and what the connection reports to it."""
 
     @property
@@ -27,7 +24,7 @@
         """Handles the messages."""
 
     @property
-    def open_connections(self) -> ConnectionTable[ClientConnection]:
+    def open_connections(self) -> ConnectionTable[ConnectionT]:
         """The connections of the listener, by the order of their eviction."""
 
     @property
@@ -54,16 +51,16 @@
     def successor(self) -> Callable[[Detach], bool] | None:
         """Passes a connection to the next process between requests, None while there is no handover."""
 
-    def remove(self, connection: ClientConnection) -> None:
+    def remove(self, connection: ConnectionT) -> None:
         """Release what a closed connection holds."""
 
-    def park(self, connection: ClientConnection) -> bool:
+    def park(self, connection: ConnectionT) -> bool:
         """Park an idle connection; return whether it was possible."""
 
-    def hand_over(self, connection: ClientConnection) -> bool:
+    def hand_over(self, connection: ConnectionT) -> bool:
         """Pass a connection to the next process; return whether it was possible."""
 
-    def report_cut_off(self, connection: ClientConnection, reason: Reason) -> None:
+    def report_cut_off(self, connection: ConnectionT, reason: Reason) -> None:
         """Count and log a connection that this process ends for a reason of its own."""
 
     def count_disconnect(self) -> None:
--- a/eiderfield/net/discovery/endpoint_list.py
+++ b/eiderfield/net/discovery/endpoint_list.py
@@ -1,8 +1,8 @@
 """List of workers in typed form, and the parser for the platform's JSON form.
 
 A list is parsed completely before any of it is applied, so that a malformed list changes nothing. In a list
-that a source has sent, a malformed entry is refused alone: the other entries may say that a worker drains or
-is gone. Such a list is malformed as a whole only if none of its entries names a worker.
+that a source has sent, a malformed entry is refused alone: the list may drain or remove other workers. Such a
+list is malformed as a whole only if none of its entries names a worker.
 """
 
 from __future__ import annotations
@@ -58,10 +58,10 @@
 
 @dataclass(slots=True, frozen=True)
 class RefusedEntry:
-    """A malformed entry of a list. A worker that it names is listed, and drains if the entry says so.
+    """A malformed entry of a list. A worker that it names is listed; a status other than SERVING applies.
 
     Attributes:
-        name: The name of the worker, empty if the entry does not say which worker it is.
+        name: The name of the worker, empty if it is malformed too.
         status: The status of the worker, None if it is malformed.
         problem: What is malformed.
     """
--- a/eiderfield/net/discovery/source_history.py
+++ b/eiderfield/net/discovery/source_history.py
@@ -1,10 +1,10 @@
 """What is known of a source that numbers its lists, and which of its lists may be incomplete.
 
 A connection ends at each interruption, at a change of the configuration and at a handover. The source does
-not, so its history outlives all of these: a new connection says nothing about the list that is received on
-it. A list may be incomplete if it lists no worker that is ready, and in addition its index is lower than
-before, as that of a source that has lost its state, or one of its entries does not say which worker it is.
-Every other list is complete, however few workers it lists.
+not, so its history outlives all of these: a new connection is no evidence about the list received on it. A
+list may be incomplete if it lists no worker that is ready, and in addition its index is lower than before,
+as after a loss of the source's state, or one of its entries names no worker. Every other list is complete,
+however few workers it lists.
 
     no list ──(a list)──> complete ──(an incomplete list)──> unconfirmed
                              ^  ^──────(a complete list)──────────┤
--- a/tests/support/consul_server.py
+++ b/tests/support/consul_server.py
@@ -140,10 +140,10 @@
         while time.monotonic() < end:
             await client.request()
 
-    def late_requests(self, gone: Sequence[RecordingWorker], told_at: float) -> list[float]:
-        """Return how long after `told_at` requests reached workers that were gone, in s, after the grace."""
-        limit = told_at + GRACE_S
-        return [round(at - told_at, 2) for worker in gone for at in worker.received_at if at > limit]
+    def late_requests(self, gone: Sequence[RecordingWorker], answered_at: float) -> list[float]:
+        """Return the times after `answered_at`, in s, of requests that reached workers after the grace."""
+        limit = answered_at + GRACE_S
+        return [round(at - answered_at, 2) for worker in gone for at in worker.received_at if at > limit]
 
 
 @asynccontextmanager
--- a/tests/support/discovery_orders.py
+++ b/tests/support/discovery_orders.py
@@ -1,8 +1,9 @@
 """Drawn orders of what may happen to a dispatcher that follows Consul, on a driven clock.
 
 An order consists of changes of the catalogue, interruptions, changes of the configuration, handovers and
-kills, while clients send a request every `STEP_MS`. `ToldWorkers` records what the lists that the dispatcher
-received say, apart from the code that applies them. `Play` compares it with where requests begin.
+kills, while clients send a request every `STEP_MS`. `ReceivedLists` derives the states of the workers from
+the lists that the dispatcher received, apart from the code that applies them. `Play` compares them with the
+workers at which requests begin.
 """
 
 from __future__ import annotations
@@ -60,8 +61,8 @@
         return found
 
 
-class ToldWorkers:
-    """What the lists say that one dispatcher received, through all its processes but for kills."""
+class ReceivedLists:
+    """The states of workers by the lists that a dispatcher has received since its last kill."""
 
     def __init__(self) -> None:
         self.gone_since: dict[int, float] = {}  # by worker: when a list omitted or drained it
@@ -72,7 +73,7 @@
     def receive(self, agent: Agent, now: float) -> None:
         """Record the list that an agent sends now."""
         if not agent.statuses and not agent.malformed and agent.has_nameless_entry:
-            return  # no entry says which worker it is: it is as good as no list
+            return  # no entry names a worker: the list is malformed
         passing = {number for number, status in agent.statuses.items() if status == "passing"}
         still_listed = {n for n, status in agent.malformed.items() if status == "passing"} & self.listed
         went_back = agent.index < self._highest_index.get(agent.port, 0)
@@ -142,7 +143,7 @@
             agent.statuses = dict.fromkeys(range(1, WORKERS + 1), "passing")
         self.followed = self.agents[0]
         self.token = 0
-        self.told = ToldWorkers()
+        self.received_lists = ReceivedLists()
         self.late: list[str] = []  # requests that began after the grace
         self.history: list[str] = []
         self.begun = 0
@@ -305,7 +306,7 @@
     def _kill(self) -> None:
         old = self.side.dispatcher
         new = Side(workers=0, start=self.now)
-        self.told = ToldWorkers()
+        self.received_lists = ReceivedLists()
         records = [record.to_platform_form() for record in old.table.state().endpoints]
         new.dispatcher.table.load({"index": 1, "snapshot": True, "endpoints": records}, cached=True)
         new.dispatcher.settle()
@@ -325,7 +326,7 @@
         self._list(self.followed, [1, 2, 3])
         self.followed.reachable = True
 
-    # What goes on all the time.
+    # Activity between events.
 
     def _follow(self) -> None:
         self.watch = ActiveWatch()
@@ -347,12 +348,12 @@
         )
 
     def _step(self) -> None:
-        """Let Consul, the workers and a client act, and the clock go on."""
+        """Let Consul, a client and the workers act, then advance the clock by a step."""
         self._answer_queries()
         self.side.dispatcher.client(id_=f"r{self.begun}-{self.now}")
         self._work()
         self.side.dispatcher.advance(STEP_MS)
-        self.told.end_exceptions(self.now)
+        self.received_lists.end_exceptions(self.now)
         self._work()
 
     def _answer_queries(self) -> None:
@@ -366,7 +367,7 @@
                 dial.refuse()
         for query in self._queries:
             if query.pipe.open and query.answer_if_due():
-                self.told.receive(query.agent, self.now)
+                self.received_lists.receive(query.agent, self.now)
                 dispatcher.settle()
 
     def _work(self) -> None:
@@ -385,6 +386,8 @@
 
     def _record(self, worker: int) -> None:
         self.begun += 1
-        if self.told.is_late(worker, self.now):
-            told_at = self.told.gone_since[worker]
-            self.late.append(f"w{worker} at {self.now:.0f}, {self.now - told_at:.0f} ms after it was told")
+        if self.received_lists.is_late(worker, self.now):
+            removed_at = self.received_lists.gone_since[worker]
+            self.late.append(
+                f"w{worker} at {self.now:.0f}, {self.now - removed_at:.0f} ms after its removal or drain"
+            )
--- a/tests/test_consul_interruptions.py
+++ b/tests/test_consul_interruptions.py
@@ -22,11 +22,11 @@
         play.consul.has_leader = has_leader
         await play.consul.set_listed(play.workers[:remaining], index)
         await play.consul.open()
-        told_at = await play.consul.wait_for_answer(began)
-        await play.send_until(told_at + WATCHED_S)
+        answered_at = await play.consul.wait_for_answer(began)
+        await play.send_until(answered_at + WATCHED_S)
         gone = play.workers[remaining:]
         assert all(worker.received_at for worker in gone)
-        return play, play.late_requests(gone, told_at)
+        return play, play.late_requests(gone, answered_at)
 
 
 # Regression: a list on a new connection was set aside for 10 s, and omitted workers got requests (review/3).
@@ -53,9 +53,9 @@
         began = time.monotonic()
         play.consul.extra_entries = [entry]
         await play.consul.set_listed(play.workers[:5])
-        told_at = await play.consul.wait_for_answer(began)
-        await play.send_until(told_at + WATCHED_S)
-        return play.late_requests(play.workers[5:], told_at), await play.dispatcher.figures()
+        answered_at = await play.consul.wait_for_answer(began)
+        await play.send_until(answered_at + WATCHED_S)
+        return play.late_requests(play.workers[5:], answered_at), await play.dispatcher.figures()
 
 
 # Regression: one malformed entry set aside what a list says of all other workers, without end (review/3).
@@ -84,10 +84,10 @@
         config["discovery"] = {"kind": "consul", "address": f"127.0.0.1:{other.port}", "service": SERVICE}
         (folder / "config.json").write_text(json.dumps(config))
         play.dispatcher.process.send_signal(signal.SIGHUP)
-        told_at = await other.wait_for_answer(0.0)
-        await play.send_until(told_at + WATCHED_S)
+        answered_at = await other.wait_for_answer(0.0)
+        await play.send_until(answered_at + WATCHED_S)
         await other.close()
-        return play.late_requests(play.workers[5:], told_at)
+        return play.late_requests(play.workers[5:], answered_at)
 
 
 # Regression: the first list after a SIGHUP was set aside for 10 s, since its connection was new (review/3).
@@ -107,9 +107,9 @@
         await previous.wait()
         began = time.monotonic()
         await play.consul.open()
-        told_at = await play.consul.wait_for_answer(began)
-        await play.send_until(told_at + WATCHED_S)
-        return play.late_requests(play.workers[5:], told_at), play.clients
+        answered_at = await play.consul.wait_for_answer(began)
+        await play.send_until(answered_at + WATCHED_S)
+        return play.late_requests(play.workers[5:], answered_at), play.clients
 
 
 # Regression: the next process set its first list aside for 10 s, since its connection was new (review/3).
