Play the drawn orders with the platform's stream too, and with moves between both kinds

The platform's lists are applied without any exception, so every order has the plain property there. The stand-in streams a whole list, changes and empty lines.

--- a/tests/support/discovery_orders.py
+++ b/tests/support/discovery_orders.py
@@ -1,4 +1,4 @@
-"""Drawn orders of what may happen to a dispatcher that follows Consul, on a driven clock.
+"""Drawn orders of what may happen to a dispatcher that follows Consul or the platform, on a driven clock.
 
 An order consists of changes of the catalogue, interruptions, changes of the configuration, handovers and
 kills, while clients send a request every `STEP_MS`. `ReceivedLists` derives the states of the workers from
@@ -20,7 +20,9 @@
 from eiderfield.interface import EndpointState
 from eiderfield.net.discovery.active_watch import ActiveWatch
 from eiderfield.net.discovery.consul import ConsulWatch
+from eiderfield.net.discovery.platform import PlatformWatch
 from eiderfield.net.discovery.settings import DiscoveryKind, DiscoverySettings
+from eiderfield.net.discovery.watch import Watch
 from eiderfield.net.http import END, Head, Parser
 from eiderfield.net.link import Link
 from support.consul import instance
@@ -34,16 +36,19 @@
 EVENTS = 24  # of an order
 CALM_MS = 14_000.0  # after the last event: longer than the exception and any wait between calls
 WORKERS = 6
-FIRST_CONSUL_PORT = 8500
+FIRST_AGENT_PORT = 8500
 HANDOVER_ROUNDS, HANDOVER_STEP_MS = 9, 8.0
+PLATFORM_HEARTBEAT_MS = 2000.0
+PLATFORM_STATUSES = {"passing": "SERVING", "critical": "DRAINING"}
 JsonObject = dict[str, Any]
 
 
 @dataclass(slots=True)
 class Agent:
-    """A Consul of which a dispatcher may follow any number; its list and how it can be reached."""
+    """A source of workers: its list, and whether it can be reached."""
 
     port: int
+    kind: DiscoveryKind
     statuses: dict[int, str] = field(default_factory=dict)  # by worker: of its check
     malformed: dict[int, str] = field(default_factory=dict)  # workers without an address, with their status
     has_nameless_entry: bool = False
@@ -51,8 +56,20 @@
     has_leader: bool = True
     reachable: bool = True
 
-    def entries(self) -> list[JsonObject]:
-        """Return the instances as the health API lists them."""
+    def endpoints(self) -> list[JsonObject]:
+        """Return the endpoints as the platform lists them."""
+        found: list[JsonObject] = [
+            {"name": f"n/w{number}", "address": f"127.0.0.9:{number}", "status": PLATFORM_STATUSES[status]}
+            for number, status in self.statuses.items()
+        ]
+        for number, status in self.malformed.items():
+            found.append({"name": f"n/w{number}", "address": "", "status": PLATFORM_STATUSES[status]})
+        if self.has_nameless_entry:
+            found.append({"name": "", "status": "SERVING"})
+        return found
+
+    def instances(self) -> list[JsonObject]:
+        """Return the instances as Consul's health API lists them."""
         found = [instance(f"w{number}", number, status) for number, status in self.statuses.items()]
         for number, status in self.malformed.items():
             found.append({**instance(f"w{number}", number, status), "Service": {"ID": f"w{number}"}})
@@ -79,7 +96,8 @@
         went_back = agent.index < self._highest_index.get(agent.port, 0)
         self._highest_index[agent.port] = max(agent.index, self._highest_index.get(agent.port, 0))
         named = agent.statuses.keys() | agent.malformed.keys()
-        if not passing and not still_listed and (went_back or agent.has_nameless_entry):
+        may_be_incomplete = agent.kind == DiscoveryKind.CONSUL and (went_back or agent.has_nameless_entry)
+        if not passing and not still_listed and may_be_incomplete:
             self.exceptions_since = now if self.exceptions_since is None else self.exceptions_since
             self._record_gone(self.listed & named, now)
             return
@@ -105,44 +123,91 @@
 
 
 class Query:
-    """A connection of a watch to an agent, and the query that it waits for."""
+    """A connection of a watch to an agent, and the request that the agent has to answer."""
 
     def __init__(self, agent: Agent, connection: Any) -> None:
         self.agent = agent
         self.pipe = Pipe(connection)
         self._parser = Parser()
-        self._index: int | None = None
+        self._index: int | None = None  # that the request names, 0 for none
         connection.connection_made(self.pipe)
 
-    def answer_if_due(self) -> bool:
-        """Answer the query unless the agent's index is the one that it names; return whether it was."""
+    def answer_if_due(self, now: float) -> bool:
+        """Answer the request if there is news; return whether a list was sent."""
         self._parser.feed(bytes(self.pipe.written))
         self.pipe.written.clear()
         while (got := self._parser.poll()) is not None:
             if isinstance(got, Head):
-                self._index = int(parse_qs(urlsplit(got.target).query).get("index", ["0"])[0])
+                query = parse_qs(urlsplit(got.target).query)
+                self._index = int(query.get("index", query.get("after", ["0"]))[0])
             else:
                 assert got is END
+        return self._answer(now)
+
+    def _answer(self, now: float) -> bool:
+        raise NotImplementedError
+
+
+class ConsulQuery(Query):
+    """A blocking query, which is answered once the agent has another index than the one that it names."""
+
+    def _answer(self, _now: float) -> bool:
         if self._index is None or self._index == self.agent.index:
             return False
         self._index = None
-        body = json.dumps(self.agent.entries()).encode()
+        body = json.dumps(self.agent.instances()).encode()
         head = f"HTTP/1.1 200 OK\r\nX-Consul-Index: {self.agent.index}\r\n"
         head += f"X-Consul-KnownLeader: {str(self.agent.has_leader).lower()}\r\n"
         self.pipe.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         return True
 
 
+class PlatformStream(Query):
+    """A watch of the platform: a whole list first, unless none is needed, then changes and empty lines."""
+
+    def __init__(self, agent: Agent, connection: Any) -> None:
+        super().__init__(agent, connection)
+        self._sent: dict[str, JsonObject] = {}  # the present endpoints by name
+        self._sent_index: int | None = None
+        self._sent_at = 0.0
+
+    def _answer(self, now: float) -> bool:
+        if self._index is None:
+            return False
+        endpoints = {str(endpoint["name"]): endpoint for endpoint in self.agent.endpoints()}
+        if self._sent_index is None:
+            self.pipe.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            is_news = self._index != self.agent.index
+            changed = list(endpoints.values())
+        else:
+            is_news = self._sent_index != self.agent.index
+            changed = [endpoint for name, endpoint in endpoints.items() if self._sent.get(name) != endpoint]
+            removed = self._sent.keys() - endpoints.keys() - {""}
+            changed += [{"name": name, "status": "DELETED"} for name in sorted(removed)]
+        is_first, self._sent_index, self._sent = self._sent_index is None, self.agent.index, endpoints
+        if is_news:
+            self._send_line({"index": self.agent.index, "snapshot": is_first, "endpoints": changed}, now)
+        elif now >= self._sent_at + PLATFORM_HEARTBEAT_MS:
+            self._send_line(None, now)
+        return is_news
+
+    def _send_line(self, content: object, now: float) -> None:
+        self._sent_at = now
+        line = b"\n" if content is None else json.dumps(content).encode() + b"\n"
+        self.pipe.send(b"%x\r\n%s\r\n" % (len(line), line))
+
+
 class Play:
     """One drawn order."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, kinds: tuple[DiscoveryKind, DiscoveryKind]) -> None:
         self.random = Random(seed)
-        self.agents = [Agent(FIRST_CONSUL_PORT + number) for number in range(2)]
+        self.agents = [Agent(FIRST_AGENT_PORT + number, kind) for number, kind in enumerate(kinds)]
         for agent in self.agents:
             agent.statuses = dict.fromkeys(range(1, WORKERS + 1), "passing")
         self.followed = self.agents[0]
         self.token = 0
+        self.is_continued = False  # whether the process has taken over or reloaded
         self.received_lists = ReceivedLists()
         self.late: list[str] = []  # requests that began after the grace
         self.history: list[str] = []
@@ -261,7 +326,7 @@
         agent.index = self.random.randint(0, max(0, agent.index - 2))
         agent.statuses = dict.fromkeys(self.random.choice(([], self._draw_workers())), "passing")
         agent.malformed.clear()
-        if self.random.random() < 0.5:
+        if agent.kind == DiscoveryKind.PLATFORM or self.random.random() < 0.5:
             self._break(agent)
 
     def _lose_leader(self) -> None:
@@ -282,6 +347,7 @@
         if self.random.random() < 0.5:
             self.followed = self.random.choice(self.agents)
         self.token += 1
+        self.is_continued = True
         self._follow_in(self.watch)
 
     def _hand_over(self) -> None:
@@ -301,12 +367,14 @@
         here.close()  # the old process ends
         assert there.on_lost is not None
         there.on_lost()
+        self.is_continued = True
         self._replace(new)
 
     def _kill(self) -> None:
         old = self.side.dispatcher
         new = Side(workers=0, start=self.now)
         self.received_lists = ReceivedLists()
+        self.is_continued = False
         records = [record.to_platform_form() for record in old.table.state().endpoints]
         new.dispatcher.table.load({"index": 1, "snapshot": True, "endpoints": records}, cached=True)
         new.dispatcher.settle()
@@ -332,20 +400,19 @@
         self.watch = ActiveWatch()
         self._follow_in(self.watch)
 
-    def _follow_in(self, active: ActiveWatch) -> None:
+    def _new_watch(self, agent: Agent) -> Watch:
         dispatcher = self.side.dispatcher
-        address = ("127.0.0.1", self.followed.port)
-        settings = DiscoverySettings(DiscoveryKind.CONSUL, address, "workers", token=str(self.token))
-        active.follow(
-            ConsulWatch(
-                dispatcher.table,
-                dispatcher.wheel,
-                dispatcher.clock,
-                dispatcher.dial,
-                settings,
-                dispatcher.logged.append,
-            )
-        )
+        common = (dispatcher.table, dispatcher.wheel, dispatcher.clock, dispatcher.dial)
+        address = ("127.0.0.1", agent.port)
+        if agent.kind == DiscoveryKind.PLATFORM:
+            watch = PlatformWatch(*common, address, dispatcher.logged.append)
+            watch.needs_snapshot = self.is_continued
+            return watch
+        settings = DiscoverySettings(agent.kind, address, "workers", token=str(self.token))
+        return ConsulWatch(*common, settings, dispatcher.logged.append)
+
+    def _follow_in(self, active: ActiveWatch) -> None:
+        active.follow(self._new_watch(self.followed))
 
     def _step(self) -> None:
         """Let Consul, a client and the workers act, then advance the clock by a step."""
@@ -358,15 +425,16 @@
 
     def _answer_queries(self) -> None:
         dispatcher = self.side.dispatcher
-        for dial in [dial for dial in dispatcher.dials if dial.address[1] >= FIRST_CONSUL_PORT]:
+        for dial in [dial for dial in dispatcher.dials if dial.address[1] >= FIRST_AGENT_PORT]:
             agent = next(agent for agent in self.agents if agent.port == dial.address[1])
             if agent.reachable:
                 dispatcher.dials.remove(dial)
-                self._queries.append(Query(agent, dial.connection))
+                is_platform = agent.kind == DiscoveryKind.PLATFORM
+                self._queries.append((PlatformStream if is_platform else ConsulQuery)(agent, dial.connection))
             else:
                 dial.refuse()
         for query in self._queries:
-            if query.pipe.open and query.answer_if_due():
+            if query.pipe.open and query.answer_if_due(self.now):
                 self.received_lists.receive(query.agent, self.now)
                 dispatcher.settle()
 
@@ -374,7 +442,7 @@
         """Let the workers accept connections, record what they receive and answer it."""
         dispatcher = self.side.dispatcher
         while True:
-            dials = [dial for dial in dispatcher.dials if dial.address[1] < FIRST_CONSUL_PORT]
+            dials = [dial for dial in dispatcher.dials if dial.address[1] < FIRST_AGENT_PORT]
             for dial in dials:
                 dial.up()
             waiting = [end for end in dispatcher.ends if end.pipe.open and end.take()]
