--- a/eiderfield/net/discovery/routing_table.py
+++ b/eiderfield/net/discovery/routing_table.py
@@ -24,6 +24,7 @@
     RefusedEntry,
     parse_endpoint_list,
 )
+from eiderfield.net.discovery.refused_entries import RefusedEntries
 from eiderfield.net.discovery.source_history import SourceHistory
 from eiderfield.net.start_times import StartTimes
 from eiderfield.net.table_state import EndpointRecord, RoutingTableState, SourceState, UnbannedWorker
@@ -48,6 +49,7 @@
         watches_reopened: The number of times that a watch was lost and reopened, by reason.
         kept_since: Since when ready workers have been kept although lists omit them, None if none are. All
             workers that are ready are then kept ones.
+        refused_entries: The malformed entries of the present list.
         source_history: The history of the source whose list was applied last, None if it has none.
         on_list_applied: Called after each list from a source was applied; not for cached lists.
         on_ban_changed: Called with a worker's name and the start of its ban, or None when it was lifted.
@@ -74,10 +76,10 @@
         self.watches_reopened: Counter[str] = Counter()
         self.kept_since: float | None = None
         self.source_history: SourceHistory | None = None
+        self.refused_entries = RefusedEntries()
         self.on_list_applied: Callable[[], None] = lambda: None
         self.on_ban_changed: Callable[[str, float | None], None] | None = None
         self._endpoints: dict[int, Endpoint] = {}  # by worker, without bans
-        self._refused: tuple[RefusedEntry, ...] = ()
         self._unbanned: dict[int, UnbannedWorker] = {}  # by worker, until a start is announced
 
     @property
@@ -99,11 +101,6 @@
         endpoint = self._find_listed(name)
         return None if endpoint is None else endpoint.ready_at
 
-    @property
-    def refused_entries(self) -> tuple[RefusedEntry, ...]:
-        """The malformed entries of the present list."""
-        return self._refused
-
     @property
     def unconfirmed_removals(self) -> int:
         """The number of workers that are kept as ready although the last list omits them."""
@@ -192,7 +189,7 @@
         self.index = endpoint_list.index
         if endpoint_list.snapshot:
             self._begin_snapshot({endpoint.worker for endpoint in changed})
-        self._record_refused(endpoint_list)
+        self.refused_entries.update(endpoint_list)
         self._endpoints.update({endpoint.worker: endpoint for endpoint in changed})
         for endpoint in retained:
             if endpoint.state == EndpointState.GONE:
@@ -228,15 +225,6 @@
             for worker, endpoint in self._endpoints.items()
         }
 
-    def _record_refused(self, endpoint_list: EndpointList) -> None:
-        if endpoint_list.snapshot:
-            self._refused = endpoint_list.refused
-            return
-        named = {endpoint.name for endpoint in endpoint_list.endpoints}
-        named |= {entry.name for entry in endpoint_list.refused}
-        earlier = [entry for entry in self._refused if entry.name and entry.name not in named]
-        self._refused = (*earlier, *endpoint_list.refused)
-
     def remove_kept_workers(self) -> None:
         """Remove the workers that were kept although lists omit them."""
         self.kept_since = None
--- a/eiderfield/net/discovery/watch.py
+++ b/eiderfield/net/discovery/watch.py
@@ -150,10 +150,8 @@
 
     def apply_list(self, endpoint_list: EndpointList) -> None:
         """Apply a list to the table, and log its malformed entries unless they were malformed before."""
-        known = set(self.table.refused_entries)
         self.table.apply(endpoint_list)
-        new = [entry for entry in endpoint_list.refused if entry not in known]
-        if new:
+        if new := self.table.refused_entries.take_new():
             self.log(
                 f"discovery: entries refused, the others are applied "
                 f"(count={len(new)} first={new[0].problem!r} index={endpoint_list.index})"
